--- /dev/null
+++ b/src/main/java/io/bilberrylane/catalogue/ServiceEntry.java
@@ -0,0 +1,53 @@
+package io.bilberrylane.catalogue;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * One entry of the catalogue.
+ *
+ * @param service its name
+ * @param owner who answers for it
+ * @param serviceClass its place in queues
+ * @param hosts host names of callers' requests that belong to it, besides its name
+ * @param idempotent calls that may run more than once, besides GET, HEAD and OPTIONS
+ * @param limits what it may use
+ * @param resendWindowSeconds how long an idempotency key is remembered, in seconds
+ * @param probesPerSecond probes that one target may get from the whole fleet in a second
+ * @param objectives its service-level objectives
+ */
+public record ServiceEntry(
+        String service,
+        String owner,
+        ServiceClass serviceClass,
+        List<String> hosts,
+        List<IdempotentRule> idempotent,
+        Limits limits,
+        long resendWindowSeconds,
+        double probesPerSecond,
+        Objectives objectives) {
+    private static final List<String> SAFE_METHODS = List.of("GET", "HEAD", "OPTIONS");
+
+    /** Checks the parts and copies the lists. */
+    public ServiceEntry {
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(owner, "owner is null");
+        Objects.requireNonNull(serviceClass, "serviceClass is null");
+        Objects.requireNonNull(limits, "limits is null");
+        Objects.requireNonNull(objectives, "objectives is null");
+        hosts = List.copyOf(hosts);
+        idempotent = List.copyOf(idempotent);
+    }
+
+    /**
+     * Returns whether a call may run more than once.
+     *
+     * @param method the call's method
+     * @param path the call's path
+     * @return true for safe methods and for calls that a rule covers
+     */
+    public boolean isIdempotent(final String method, final String path) {
+        return SAFE_METHODS.contains(method)
+                || idempotent.stream().anyMatch(rule -> rule.covers(method, path));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/CtlCheckCommand.java
@@ -0,0 +1,37 @@
+package io.bilberrylane.cli;
+
+import io.bilberrylane.catalogue.CatalogueCheck;
+import io.bilberrylane.catalogue.CatalogueReader;
+import java.util.List;
+
+/** Checks a catalogue without a platform. */
+final class CtlCheckCommand implements Command {
+    @Override
+    public String name() {
+        return "ctl check";
+    }
+
+    @Override
+    public String help() {
+        return "check a catalogue file without applying it";
+    }
+
+    @Override
+    public List<Flag> flags() {
+        return List.of();
+    }
+
+    @Override
+    public List<String> arguments() {
+        return List.of("FILE");
+    }
+
+    @Override
+    public int run(final Settings settings, final List<String> arguments) {
+        final String file = arguments.get(0);
+        final CatalogueCheck check = CatalogueReader.read(file, CtlSupport.readFile(file));
+        check.orThrow();
+        System.out.println(file + ": valid, " + check.catalogue().services().size() + " services");
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/LoadCommand.java
@@ -0,0 +1,97 @@
+package io.bilberrylane.cli;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.load.Deployment;
+import io.bilberrylane.load.LoadReport;
+import io.bilberrylane.load.LoadRun;
+import io.bilberrylane.load.LoadSettings;
+import io.bilberrylane.load.Operation;
+import io.bilberrylane.net.Transport;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Sends load and checks every answer. */
+final class LoadCommand implements Command {
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    @Override
+    public String help() {
+        return "send the users' mix, check every answer; exit status 1 on any violation";
+    }
+
+    @Override
+    public List<Flag> flags() {
+        return List.of(
+                Flag.of("deployment", "NAME", "castor or padana", "castor"),
+                Flag.of("only", "KIND", "all, lookup, registration or upload", "all"),
+                Flag.required("nodes", "IP:PORT,...", "caller addresses of nodes"),
+                Flag.of("versus", "IP:PORT,...", "takes half of the calls; none without", "none"),
+                Flag.of("controls", "IP:PORT,...", "control addresses of target stand-ins", "none"),
+                Flag.of("rate", "CALLS", "arrivals per second", "200"),
+                Flag.of("seconds", "S", "length of the run, in seconds", "10"),
+                Flag.of("warm-up-seconds", "S", "start left out of latencies, in seconds", "0"),
+                Flag.of("answer-bytes", "BYTES", "length of each answer, in bytes", "1024"),
+                Flag.of("upload-bytes", "BYTES", "length of each upload, in bytes", "1048576"),
+                Flag.of("seed", "NUMBER", "seed of every random choice", "1"),
+                Flag.of("json", "FILE", "writes the figures as JSON", "none"),
+                Flag.of("svg", "FILE", "writes the latency picture", "none"));
+    }
+
+    @Override
+    public int run(final Settings settings, final List<String> arguments) {
+        final String name = settings.text("deployment");
+        final String only = settings.text("only");
+        final List<Operation> operations =
+                Deployment.ofName(name).map(Deployment::operations).orElse(List.of()).stream()
+                        .filter(o -> only.equals("all") || o.kind().name().equalsIgnoreCase(only))
+                        .toList();
+        if (operations.isEmpty()) {
+            throw new BilberrylaneException(
+                    ErrorCode.SETTINGS_INVALID,
+                    "--deployment must be castor or padana, --only all, lookup, registration or"
+                            + " upload");
+        }
+        final LoadSettings load =
+                new LoadSettings(
+                        operations,
+                        settings.addresses("nodes"),
+                        isNone(settings, "versus") ? List.of() : settings.addresses("versus"),
+                        isNone(settings, "controls") ? List.of() : settings.addresses("controls"),
+                        settings.decimal("rate", 0.01, 1_000_000),
+                        settings.decimal("seconds", 0.1, 86_400),
+                        (int) settings.number("answer-bytes", 0, 1 << 30),
+                        settings.number("upload-bytes", 1, 1L << 40),
+                        settings.decimal("warm-up-seconds", 0, 86_400),
+                        settings.number("seed", Long.MIN_VALUE, Long.MAX_VALUE));
+        settings.orThrow();
+        try (Transport transport = Transport.of(2)) {
+            final LoadReport report = LoadRun.play(transport, load);
+            System.out.print(report.text());
+            write(settings, "json", report.json());
+            write(settings, "svg", report.svg());
+            return report.isClean() ? 0 : 1;
+        }
+    }
+
+    private static boolean isNone(final Settings settings, final String name) {
+        return settings.optionalText(name).equals("none");
+    }
+
+    private static void write(final Settings settings, final String name, final String content) {
+        if (isNone(settings, name)) {
+            return;
+        }
+        try {
+            Files.writeString(Path.of(settings.text(name)), content);
+        } catch (IOException e) {
+            throw new BilberrylaneException(
+                    ErrorCode.SETTINGS_INVALID, "--" + name + " cannot be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/Main.java
@@ -0,0 +1,127 @@
+package io.bilberrylane.cli;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.base.FindingsException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The program's entry point. */
+public final class Main {
+    private static final String COMMAND = "command";
+
+    private Main() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments the command line
+     */
+    public static void main(final String[] arguments) {
+        System.exit(run(arguments, System.getenv()));
+    }
+
+    static int run(final String[] arguments, final Map<String, String> environment) {
+        final Map<String, Command> commands = commands();
+        final ArgumentParser parser = parser(commands);
+        final Namespace namespace;
+        try {
+            namespace = parser.parseArgs(arguments);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            return ErrorCode.SETTINGS_INVALID.exitStatus();
+        }
+        return run(commands.get(namespace.getString(COMMAND)), namespace, environment);
+    }
+
+    private static int run(
+            final Command command,
+            final Namespace namespace,
+            final Map<String, String> environment) {
+        final Map<String, Flag> flags = new LinkedHashMap<>();
+        command.flags().forEach(flag -> flags.put(flag.name(), flag));
+        final List<String> positional = new ArrayList<>();
+        command.arguments().forEach(name -> positional.add(namespace.getString(name)));
+        try {
+            return command.run(new Settings(namespace, environment, flags), positional);
+        } catch (FindingsException e) {
+            e.findings().forEach(finding -> System.err.println(finding.line()));
+            return e.code().exitStatus();
+        } catch (BilberrylaneException e) {
+            System.err.println("error: " + e.getMessage() + " [" + e.code().wireName() + "]");
+            return e.code().exitStatus();
+        }
+    }
+
+    private static Map<String, Command> commands() {
+        final Map<String, Command> commands = new LinkedHashMap<>();
+        for (final Command command :
+                List.of(
+                        new NodeCommand(),
+                        new CtlApplyCommand(),
+                        new CtlGetCommand(),
+                        new CtlCheckCommand(),
+                        new CtlStatusCommand(),
+                        new LoadCommand(),
+                        new PlatformStandInCommand(),
+                        new TargetStandInCommand())) {
+            commands.put(command.name(), command);
+        }
+        return commands;
+    }
+
+    private static ArgumentParser parser(final Map<String, Command> commands) {
+        final ArgumentParser parser =
+                ArgumentParsers.newFor("bilberrylane")
+                        .build()
+                        .description(
+                                "A load balancer for services whose load shifts in"
+                                        + " milliseconds.");
+        final Subparsers subparsers =
+                parser.addSubparsers().title("commands").metavar("COMMAND").dest("group");
+        Subparsers ctl = null;
+        for (final Command command : commands.values()) {
+            if (command.name().startsWith("ctl ")) {
+                if (ctl == null) {
+                    ctl =
+                            subparsers
+                                    .addParser("ctl")
+                                    .help("what operators do")
+                                    .addSubparsers()
+                                    .title("commands")
+                                    .metavar("COMMAND")
+                                    .dest("action");
+                }
+                add(ctl, command.name().substring("ctl ".length()), command);
+            } else {
+                add(subparsers, command.name(), command);
+            }
+        }
+        return parser;
+    }
+
+    private static void add(final Subparsers subparsers, final String name, final Command command) {
+        final Subparser subparser =
+                subparsers
+                        .addParser(name)
+                        .help(command.help())
+                        .description(command.help())
+                        .setDefault(COMMAND, command.name());
+        command.arguments().forEach(argument -> subparser.addArgument(argument).metavar(argument));
+        for (final Flag flag : command.flags()) {
+            subparser
+                    .addArgument("--" + flag.name())
+                    .metavar(flag.metavar())
+                    .dest(flag.destination())
+                    .help(flag.fullHelp());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Owns the command line: subcommands, flags, environment variables. May call every package. */
+package io.bilberrylane.cli;
--- /dev/null
+++ b/src/main/java/io/bilberrylane/ctl/CatalogueStore.java
@@ -0,0 +1,151 @@
+package io.bilberrylane.ctl;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.catalogue.ConfigurationDocument;
+import io.bilberrylane.platform.ObjectStore;
+import io.bilberrylane.platform.StoredObject;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/** Reads and conditionally replaces the accepted catalogue. Blocks. */
+public final class CatalogueStore {
+    private static final int MAX_TRIES = 8;
+
+    private final ObjectStore mStore;
+
+    private CatalogueStore(final ObjectStore store) {
+        mStore = store;
+    }
+
+    /**
+     * Returns a store over the platform.
+     *
+     * @param store the platform
+     * @return the store
+     */
+    public static CatalogueStore of(final ObjectStore store) {
+        return new CatalogueStore(Objects.requireNonNull(store, "store is null"));
+    }
+
+    /**
+     * Returns the accepted catalogue.
+     *
+     * @return the document
+     * @throws BilberrylaneException with PLATFORM_NOT_FOUND when none was ever accepted
+     */
+    public ConfigurationDocument read() {
+        return ConfigurationDocument.read(
+                join(mStore.get(ConfigurationDocument.KIND, ConfigurationDocument.NAME)).spec());
+    }
+
+    /**
+     * Replaces the accepted catalogue. When the platform's answer is lost, the change is recognised
+     * by its identity, so that it is never applied twice.
+     *
+     * @param text the checked catalogue
+     * @param author who makes the change
+     * @param base the revision that the change was made from, or -1 for the newest
+     * @return the accepted change
+     * @throws BilberrylaneException with PLATFORM_CONFLICT when another change came first, with
+     *     PLATFORM_UNAVAILABLE when it is not known whether the change was accepted
+     */
+    public ApplyOutcome apply(final String text, final String author, final long base) {
+        final String changeId = UUID.randomUUID().toString();
+        boolean inDoubt = false;
+        long pinned = base;
+        for (int tries = 0; tries < MAX_TRIES; tries++) {
+            try {
+                final Optional<StoredObject> current = current();
+                final ConfigurationDocument held =
+                        current.map(object -> ConfigurationDocument.read(object.spec()))
+                                .orElse(new ConfigurationDocument(0, "", "", ""));
+                if (held.changeId().equals(changeId)) {
+                    return new ApplyOutcome(held.revision(), true);
+                }
+                pinned = pinned < 0 ? held.revision() : pinned;
+                checkBase(held, pinned, inDoubt);
+                final ConfigurationDocument next =
+                        new ConfigurationDocument(held.revision() + 1, changeId, author, text);
+                inDoubt = true;
+                write(current, next);
+                return new ApplyOutcome(next.revision(), false);
+            } catch (BilberrylaneException e) {
+                if (e.code() != ErrorCode.PLATFORM_UNAVAILABLE
+                        && e.code() != ErrorCode.PLATFORM_THROTTLED
+                        && e.code() != ErrorCode.PLATFORM_CONFLICT) {
+                    throw e;
+                }
+                if (e instanceof ConflictException) {
+                    throw e;
+                }
+            }
+        }
+        throw new BilberrylaneException(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                "the platform did not confirm change "
+                        + changeId
+                        + (inDoubt ? "; it may have been accepted" : "; it was not accepted")
+                        + ". Compare 'ctl get' before you apply again");
+    }
+
+    // -- platform
+
+    private Optional<StoredObject> current() {
+        try {
+            return Optional.of(
+                    join(mStore.get(ConfigurationDocument.KIND, ConfigurationDocument.NAME)));
+        } catch (BilberrylaneException e) {
+            if (e.code() == ErrorCode.PLATFORM_NOT_FOUND) {
+                return Optional.empty();
+            }
+            throw e;
+        }
+    }
+
+    private void write(final Optional<StoredObject> current, final ConfigurationDocument next) {
+        if (current.isPresent()) {
+            join(
+                    mStore.update(
+                            ConfigurationDocument.KIND,
+                            ConfigurationDocument.NAME,
+                            current.get().version(),
+                            next.toSpec()));
+        } else {
+            join(
+                    mStore.create(
+                            ConfigurationDocument.KIND, ConfigurationDocument.NAME, next.toSpec()));
+        }
+    }
+
+    private static void checkBase(
+            final ConfigurationDocument held, final long base, final boolean inDoubt) {
+        if (held.revision() != base) {
+            throw new ConflictException(
+                    "revision "
+                            + held.revision()
+                            + " by "
+                            + held.author()
+                            + " came before this change, which was made from revision "
+                            + base
+                            + (inDoubt
+                                    ? "; if this change was accepted in between, 'ctl history'"
+                                            + " shows it"
+                                    : "; nothing was changed"));
+        }
+    }
+
+    static <T> T join(final CompletableFuture<T> future) {
+        try {
+            return future.join();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof BilberrylaneException known) {
+                throw known;
+            }
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/ctl/ConflictException.java
@@ -0,0 +1,13 @@
+package io.bilberrylane.ctl;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+
+/** Another operator's change was accepted first. */
+final class ConflictException extends BilberrylaneException {
+    private static final long serialVersionUID = 1L;
+
+    ConflictException(final String message) {
+        super(ErrorCode.PLATFORM_CONFLICT, message);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/ctl/FleetStatusReader.java
@@ -0,0 +1,71 @@
+package io.bilberrylane.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.bilberrylane.net.HttpCaller;
+import io.bilberrylane.net.HttpReply;
+import io.bilberrylane.net.Transport;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Asks nodes for their state. */
+public final class FleetStatusReader {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private FleetStatusReader() {}
+
+    /**
+     * Returns the state of nodes. Blocks.
+     *
+     * @param transport threads and channel types
+     * @param addresses operator addresses
+     * @param timeoutMillis the longest time for one node, in milliseconds
+     * @return a status for each address, also for those that do not answer
+     */
+    public static FleetStatus read(
+            final Transport transport,
+            final List<InetSocketAddress> addresses,
+            final long timeoutMillis) {
+        final HttpCaller caller = HttpCaller.of(transport);
+        final List<CompletableFuture<NodeStatus>> pending = new ArrayList<>();
+        for (final InetSocketAddress address : addresses) {
+            pending.add(
+                    caller.call(address, HttpMethod.GET, "/status", "", timeoutMillis)
+                            .handle((reply, failure) -> status(address, reply, failure)));
+        }
+        return new FleetStatus(pending.stream().map(CompletableFuture::join).toList());
+    }
+
+    private static NodeStatus status(
+            final InetSocketAddress address, final HttpReply reply, final Throwable failure) {
+        if (failure != null || !reply.isSuccess()) {
+            return NodeStatus.unreachable(address.toString());
+        }
+        try {
+            return read(address, MAPPER.readTree(reply.body()));
+        } catch (JsonProcessingException e) {
+            return NodeStatus.unreachable(address + " (no JSON)");
+        }
+    }
+
+    private static NodeStatus read(final InetSocketAddress address, final JsonNode root) {
+        int present = 0;
+        for (final JsonNode member : root.path("members")) {
+            final String status = member.path("status").asText();
+            present += status.equals("ALIVE") || status.equals("SUSPECT") ? 1 : 0;
+        }
+        return new NodeStatus(
+                address.toString(),
+                true,
+                root.path("host").asText(),
+                root.path("dataCentre").asText(),
+                root.path("configurationRevision").asLong(),
+                present,
+                root.path("load").path("inFlight").asInt(),
+                root.path("load").path("allowance").asInt());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/AnswerEncoder.java
@@ -0,0 +1,18 @@
+package io.bilberrylane.http;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/** Encodes answers, without a body when the request was a HEAD. */
+final class AnswerEncoder extends HttpResponseEncoder {
+    private boolean mHeadRequest;
+
+    void expect(final boolean headRequest) {
+        mHeadRequest = headRequest;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(final HttpResponse response) {
+        return super.isContentAlwaysEmpty(response) || mHeadRequest;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/CallRouter.java
@@ -0,0 +1,22 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.peer.AnswerSink;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
+import io.netty.util.concurrent.EventExecutor;
+
+/** Brings a caller's request to a target. */
+@FunctionalInterface
+public interface CallRouter {
+    /**
+     * Routes a call.
+     *
+     * @param entry the catalogue entry
+     * @param head the call; its identity is replaced for each attempt
+     * @param executor runs every event of the sink
+     * @param sink receives the answer
+     * @return takes the body once the call is admitted
+     */
+    BodySink route(ServiceEntry entry, CallHead head, EventExecutor executor, AnswerSink sink);
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -0,0 +1,158 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.net.Transport;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.flow.FlowControlHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** One HTTP address of a node. */
+public final class HttpServer implements AutoCloseable {
+    private static final int MAX_CHUNK_BYTES = 16 * 1024;
+
+    private final ChannelGroup mConnections =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final IngressSettings mSettings;
+    private Channel mChannel;
+    private volatile boolean mLeaving;
+
+    private HttpServer(
+            final HttpLimits limits,
+            final Supplier<Catalogue> catalogue,
+            final CallRouter router,
+            final Optional<LocalEndpoint> local,
+            final String localPrefix,
+            final IngressMetrics metrics) {
+        mSettings =
+                new IngressSettings(
+                        limits, catalogue, router, local, localPrefix, () -> mLeaving, metrics);
+    }
+
+    /**
+     * Returns a server for calls.
+     *
+     * @param transport threads and channel types
+     * @param address where to listen; port 0 picks one
+     * @param catalogue the catalogue in force
+     * @param router brings calls to targets
+     * @param local answers requests to the node itself, if this address has any
+     * @param localPrefix the path prefix of requests to the node itself
+     * @param metrics counts calls and their ends
+     * @return a bound server
+     */
+    public static HttpServer bind(
+            final Transport transport,
+            final InetSocketAddress address,
+            final Supplier<Catalogue> catalogue,
+            final CallRouter router,
+            final Optional<LocalEndpoint> local,
+            final String localPrefix,
+            final IngressMetrics metrics) {
+        final HttpServer server =
+                new HttpServer(HttpLimits.DEFAULT, catalogue, router, local, localPrefix, metrics);
+        server.listen(transport, address);
+        return server;
+    }
+
+    /**
+     * Returns a server that answers every request itself.
+     *
+     * @param transport threads and channel types
+     * @param address where to listen; port 0 picks one
+     * @param endpoint answers the requests
+     * @return a bound server
+     */
+    public static HttpServer bindLocal(
+            final Transport transport,
+            final InetSocketAddress address,
+            final LocalEndpoint endpoint) {
+        return bind(
+                transport,
+                address,
+                Catalogue::empty,
+                (entry, head, executor, sink) -> {
+                    throw new IllegalStateException("no calls are routed here");
+                },
+                Optional.of(Objects.requireNonNull(endpoint, "endpoint is null")),
+                "/",
+                IngressMetrics.NONE);
+    }
+
+    private void listen(final Transport transport, final InetSocketAddress address) {
+        mChannel =
+                transport
+                        .serverBootstrap()
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childHandler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(final Channel channel) {
+                                        initConnection(channel);
+                                    }
+                                })
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    private void initConnection(final Channel channel) {
+        if (mConnections.size() >= mSettings.limits().connections()) {
+            channel.close();
+            return;
+        }
+        mConnections.add(channel);
+        final AnswerEncoder encoder = new AnswerEncoder();
+        final IngressHandler handler = new IngressHandler(mSettings, encoder);
+        final HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(mSettings.limits().lineBytes())
+                        .setMaxHeaderSize(mSettings.limits().headBytes())
+                        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        channel.pipeline()
+                .addLast(new StrictRequestDecoder(config, handler::onHeadBytes))
+                .addLast(encoder)
+                .addLast(new FlowControlHandler())
+                .addLast(handler);
+    }
+
+    // -- state
+
+    /**
+     * Returns the address that callers connect to.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    /**
+     * Returns the number of open connections.
+     *
+     * @return a count
+     */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    /** Moves callers away: each answer from now on closes its connection. */
+    public void leave() {
+        mLeaving = true;
+    }
+
+    @Override
+    public void close() {
+        mChannel.close().syncUninterruptibly();
+        mConnections.close().syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -0,0 +1,433 @@
+package io.bilberrylane.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.peer.AnswerHead;
+import io.bilberrylane.peer.AnswerSink;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.CallOpener;
+import io.bilberrylane.peer.HeaderField;
+import io.bilberrylane.peer.Refusal;
+import io.bilberrylane.policy.TargetLoad;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One request of a caller and its answer. All state belongs to the connection's event loop; every
+ * event from elsewhere is moved there.
+ */
+final class InboundExchange implements AnswerSink {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** An unread body up to this length is read and dropped so that the connection lives on. */
+    private static final long MAX_DISCARD_BYTES = 64 * 1024;
+
+    private static final long LINGER_MILLIS = 1_000;
+
+    private final ChannelHandlerContext mCtx;
+    private final IngressHandler mHandler;
+    private final IngressSettings mSettings;
+    private final HttpRequest mRequest;
+    private final long mStartNanos = System.nanoTime();
+    private String mService = "";
+    private BodySink mBody;
+    private long mBodyLimitBytes;
+    private long mBodySeenBytes;
+    private int mCreditBytes = CallOpener.INITIAL_CREDIT_BYTES;
+    private boolean mAdmitted;
+    private boolean mBodyDone;
+    private boolean mReadPending;
+    private boolean mHeadSent;
+    private boolean mKeepAlive;
+    private boolean mDone;
+    private int mStatus;
+
+    InboundExchange(
+            final ChannelHandlerContext ctx,
+            final IngressHandler handler,
+            final IngressSettings settings,
+            final HttpRequest request) {
+        mCtx = ctx;
+        mHandler = handler;
+        mSettings = settings;
+        mRequest = request;
+        mKeepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    // -- start
+
+    void start() {
+        final long bodyBytes = bodyBytes();
+        if (mSettings.local().isPresent() && mRequest.uri().startsWith(mSettings.localPrefix())) {
+            mBodyLimitBytes = LocalEndpoint.MAX_BODY_BYTES;
+            mBody = LocalExchange.open(mSettings.local().get(), head("", bodyBytes, true, 0), this);
+            readBodyEnd(bodyBytes);
+            return;
+        }
+        final Optional<ServiceEntry> entry = entry();
+        if (entry.isEmpty()) {
+            refuse(ErrorCode.SERVICE_NOT_FOUND, true, 0);
+            return;
+        }
+        mService = entry.get().service();
+        mBodyLimitBytes = entry.get().limits().bodyBytes();
+        if (bodyBytes > mBodyLimitBytes) {
+            refuse(ErrorCode.BODY_TOO_LARGE, true, 0);
+            return;
+        }
+        final String path = mRequest.uri().split("\\?", 2)[0];
+        final boolean idempotent = entry.get().isIdempotent(mRequest.method().name(), path);
+        final CallHead head = head(mService, bodyBytes, idempotent, timeoutMillis(entry.get()));
+        mBody = mSettings.router().route(entry.get(), head, mCtx.executor(), this);
+        readBodyEnd(bodyBytes);
+    }
+
+    /** Reads the empty end of a request without a body, and then watches for the caller's leave. */
+    private void readBodyEnd(final long bodyBytes) {
+        if (mDone) {
+            return;
+        }
+        if (bodyBytes == 0) {
+            requestRead();
+        } else if (mAdmitted) {
+            readBody();
+        }
+    }
+
+    private Optional<ServiceEntry> entry() {
+        final String named = mRequest.headers().get(Headers.SERVICE);
+        if (named != null) {
+            return mSettings.catalogue().get().service(named);
+        }
+        final String host = mRequest.headers().get(HttpHeaderNames.HOST, "");
+        return mSettings.catalogue().get().forHost(host);
+    }
+
+    private long bodyBytes() {
+        if (HttpUtil.isTransferEncodingChunked(mRequest)) {
+            return -1;
+        }
+        return HttpUtil.getContentLength(mRequest, 0L);
+    }
+
+    private long timeoutMillis(final ServiceEntry entry) {
+        final long most = entry.limits().timeoutMillis();
+        final String asked = mRequest.headers().get(Headers.TIMEOUT_MILLIS);
+        if (asked == null) {
+            return most;
+        }
+        try {
+            return Math.max(1, Math.min(most, Long.parseLong(asked.trim())));
+        } catch (NumberFormatException e) {
+            return most;
+        }
+    }
+
+    private CallHead head(
+            final String service,
+            final long bodyBytes,
+            final boolean idempotent,
+            final long timeoutMillis) {
+        return new CallHead(
+                "",
+                service,
+                mRequest.method().name(),
+                mRequest.uri(),
+                Headers.endToEnd(mRequest.headers()),
+                timeoutMillis,
+                1,
+                idempotent,
+                mRequest.headers().get(Headers.IDEMPOTENCY_KEY, ""),
+                bodyBytes,
+                false);
+    }
+
+    // -- the caller's side
+
+    void onContent(final ByteBuf bytes, final boolean last) {
+        mReadPending = false;
+        if (mDone) {
+            bytes.release();
+            return;
+        }
+        final int length = bytes.readableBytes();
+        mBodySeenBytes += length;
+        if (mBodySeenBytes > mBodyLimitBytes) {
+            bytes.release();
+            mBody.cancel();
+            fail(ErrorCode.BODY_TOO_LARGE, false);
+            return;
+        }
+        mCreditBytes -= length;
+        if (length > 0) {
+            mBody.data(bytes);
+        } else {
+            bytes.release();
+        }
+        if (last) {
+            mBodyDone = true;
+            if (requestHasBody()) {
+                mBody.end();
+            }
+            requestRead();
+        } else {
+            readBody();
+        }
+    }
+
+    private boolean requestHasBody() {
+        return bodyBytes() != 0;
+    }
+
+    void onCallerGone() {
+        if (!mDone) {
+            mDone = true;
+            if (mBody != null) {
+                mBody.cancel();
+            }
+        }
+    }
+
+    private void readBody() {
+        if (!mBodyDone && !mReadPending && mCreditBytes > 0) {
+            requestRead();
+        }
+    }
+
+    private void requestRead() {
+        mReadPending = true;
+        mCtx.read();
+    }
+
+    // -- the target's side
+
+    @Override
+    public void onAdmitted(final TargetLoad load) {
+        onLoop(
+                () -> {
+                    mAdmitted = true;
+                    if (mDone || bodyBytes() == 0) {
+                        return;
+                    }
+                    if (HttpUtil.is100ContinueExpected(mRequest)) {
+                        mCtx.writeAndFlush(
+                                new DefaultFullHttpResponse(
+                                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+                    }
+                    if (mBody != null) {
+                        readBody();
+                    }
+                });
+    }
+
+    @Override
+    public void onRefused(final Refusal refusal, final TargetLoad load) {
+        onLoop(() -> refuse(refusal.code(), true, refusal.retryAfterMillis()));
+    }
+
+    @Override
+    public void onHead(final AnswerHead head) {
+        onLoop(
+                () -> {
+                    if (!mDone) {
+                        sendHead(head);
+                    }
+                });
+    }
+
+    @Override
+    public void onData(final ByteBuf bytes) {
+        onLoop(
+                () -> {
+                    if (mDone) {
+                        bytes.release();
+                        return;
+                    }
+                    final int length = bytes.readableBytes();
+                    mCtx.writeAndFlush(new DefaultHttpContent(bytes))
+                            .addListener(
+                                    written -> {
+                                        if (written.isSuccess() && mBody != null) {
+                                            mBody.credit(length);
+                                        }
+                                    });
+                });
+    }
+
+    @Override
+    public void onEnd(final TargetLoad load) {
+        onLoop(
+                () -> {
+                    if (mDone) {
+                        return;
+                    }
+                    mSettings
+                            .metrics()
+                            .answered(mService, mStatus, System.nanoTime() - mStartNanos);
+                    finish(mCtx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+                });
+    }
+
+    @Override
+    public void onFailed(final ErrorCode code, final CallPhase phase) {
+        onLoop(() -> fail(code, phase.isNotRun()));
+    }
+
+    @Override
+    public void onCredit(final int bytes) {
+        onLoop(
+                () -> {
+                    mCreditBytes += bytes;
+                    if (!mDone) {
+                        readBody();
+                    }
+                });
+    }
+
+    private void onLoop(final Runnable action) {
+        if (mCtx.executor().inEventLoop()) {
+            action.run();
+        } else {
+            mCtx.executor().execute(action);
+        }
+    }
+
+    // -- answers
+
+    private void sendHead(final AnswerHead head) {
+        mHeadSent = true;
+        mStatus = head.status();
+        final HttpResponse response =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
+        for (final HeaderField field : head.headers()) {
+            response.headers().add(field.name(), field.value());
+        }
+        if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                && Headers.mayHaveBody(mRequest.method().name(), head.status())) {
+            if (mRequest.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            } else {
+                mKeepAlive = false;
+            }
+        }
+        setConnection(response);
+        mCtx.write(response);
+    }
+
+    private void setConnection(final HttpResponse response) {
+        mKeepAlive &= !mHandler.isClosing() && (mBodyDone || canDiscardRest());
+        if (!mKeepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else if (mRequest.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+        }
+    }
+
+    private boolean canDiscardRest() {
+        final long length = bodyBytes();
+        return length >= 0
+                && length <= MAX_DISCARD_BYTES
+                && !HttpUtil.is100ContinueExpected(mRequest);
+    }
+
+    void refuseSyntax(final ErrorCode code) {
+        if (mBody != null && !mDone) {
+            mBody.cancel();
+        }
+        mKeepAlive = false;
+        if (mAdmitted) {
+            fail(code, false);
+        } else {
+            refuse(code, true, 0);
+        }
+    }
+
+    private void fail(final ErrorCode code, final boolean notRun) {
+        if (mDone) {
+            return;
+        }
+        if (mHeadSent) {
+            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "answer cut with code %s; the caller's connection is closed", code.wireName());
+            mDone = true;
+            mSettings.metrics().refused(mService, code.wireName(), false);
+            mCtx.close();
+            return;
+        }
+        refuse(code, notRun, 0);
+    }
+
+    private void refuse(final ErrorCode code, final boolean notRun, final long retryAfterMillis) {
+        if (mDone) {
+            return;
+        }
+        mSettings.metrics().refused(mService, code.wireName(), notRun);
+        final String outcome = notRun ? "not-run" : "unknown";
+        final byte[] body =
+                String.format(
+                                Locale.ROOT,
+                                "{\"error\":\"%s\",\"outcome\":\"%s\"}%n",
+                                code.wireName(),
+                                outcome)
+                        .getBytes(StandardCharsets.UTF_8);
+        final FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(code.httpStatus()),
+                        Unpooled.wrappedBuffer(body));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        response.headers().set(Headers.ERROR, code.wireName());
+        response.headers().set(Headers.OUTCOME, outcome);
+        if (retryAfterMillis > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, (retryAfterMillis + 999) / 1_000);
+        }
+        setConnection(response);
+        finish(mCtx.writeAndFlush(response));
+    }
+
+    private void finish(final io.netty.channel.ChannelFuture written) {
+        mDone = true;
+        if (mKeepAlive) {
+            mHandler.onExchangeDone(!mBodyDone);
+            return;
+        }
+        if (mBodyDone) {
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        written.addListener(done -> lingerThenClose());
+    }
+
+    /** Lets the caller read the answer before its unread body makes the connection reset. */
+    private void lingerThenClose() {
+        if (mCtx.channel() instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+        }
+        mCtx.channel().config().setAutoRead(true);
+        mCtx.executor().schedule(() -> mCtx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -0,0 +1,175 @@
+package io.bilberrylane.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.ErrorCode;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Serves one connection of a caller: one request after another, in order. */
+final class IngressHandler extends ChannelInboundHandlerAdapter {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final IngressSettings mSettings;
+    private final AnswerEncoder mEncoder;
+    private ChannelHandlerContext mCtx;
+    private InboundExchange mExchange;
+    private HttpRequest mNext;
+    private boolean mDiscarding;
+    private ScheduledFuture<?> mTimer;
+
+    IngressHandler(final IngressSettings settings, final AnswerEncoder encoder) {
+        mSettings = settings;
+        mEncoder = encoder;
+    }
+
+    // -- connection
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        mCtx = ctx;
+        awaitRequest();
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        cancelTimer();
+        if (mExchange != null) {
+            final InboundExchange exchange = mExchange;
+            mExchange = null;
+            exchange.onCallerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        LOGGER.atInfo().atMostEvery(1, java.util.concurrent.TimeUnit.SECONDS).withCause(cause).log("caller connection failed");
+        ctx.close();
+    }
+
+    boolean isClosing() {
+        return mSettings.isLeaving();
+    }
+
+    // -- requests
+
+    @Override
+    public void channelRead(final ChannelHandlerContext ctx, final Object message) {
+        if (message instanceof HttpRequest request) {
+            onRequest(request);
+            if (message instanceof HttpContent) {
+                ReferenceCountUtil.release(message);
+            }
+            return;
+        }
+        if (message instanceof HttpContent content) {
+            onContent(content);
+            return;
+        }
+        ReferenceCountUtil.release(message);
+    }
+
+    private void onRequest(final HttpRequest request) {
+        cancelTimer();
+        if (mExchange != null) {
+            mNext = request;
+            return;
+        }
+        start(request);
+    }
+
+    private void start(final HttpRequest request) {
+        mEncoder.expect(request.method().equals(io.netty.handler.codec.http.HttpMethod.HEAD));
+        mExchange = new InboundExchange(mCtx, this, mSettings, request);
+        final Optional<ErrorCode> refusal = RequestCheck.refusal(request);
+        if (refusal.isPresent()) {
+            mExchange.refuseSyntax(refusal.get());
+            return;
+        }
+        mExchange.start();
+    }
+
+    private void onContent(final HttpContent content) {
+        final boolean last = content instanceof LastHttpContent;
+        if (content.decoderResult().isFailure()) {
+            content.release();
+            if (mExchange != null) {
+                mExchange.refuseSyntax(ErrorCode.BAD_REQUEST);
+            } else {
+                mCtx.close();
+            }
+            return;
+        }
+        if (mExchange != null && !mDiscarding) {
+            mExchange.onContent(content.content(), last);
+            return;
+        }
+        content.release();
+        if (last && mDiscarding) {
+            mDiscarding = false;
+            if (mExchange == null) {
+                awaitRequest();
+            }
+            return;
+        }
+        mCtx.read();
+    }
+
+    // -- between requests
+
+    /** The exchange is over and the connection may serve another. */
+    void onExchangeDone(final boolean bodyRemains) {
+        mExchange = null;
+        if (isClosing()) {
+            mCtx.close();
+            return;
+        }
+        if (bodyRemains) {
+            mDiscarding = true;
+            startTimer(mSettings.limits().headTimeoutMillis());
+            mCtx.read();
+            return;
+        }
+        if (mNext != null) {
+            final HttpRequest next = mNext;
+            mNext = null;
+            start(next);
+            return;
+        }
+        awaitRequest();
+    }
+
+    /** Called by the decoder when the first bytes of a head arrive. */
+    void onHeadBytes() {
+        if (mExchange == null) {
+            startTimer(mSettings.limits().headTimeoutMillis());
+        }
+    }
+
+    private void awaitRequest() {
+        startTimer(mSettings.limits().idleTimeoutMillis());
+        mCtx.read();
+    }
+
+    private void startTimer(final long delayMillis) {
+        cancelTimer();
+        if (mCtx != null) {
+            mTimer =
+                    mCtx.executor()
+                            .schedule(() -> mCtx.close(), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void cancelTimer() {
+        if (mTimer != null) {
+            mTimer.cancel(false);
+            mTimer = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/IngressSettings.java
@@ -0,0 +1,42 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.policy.TargetLoad;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * What one HTTP address of a node serves.
+ *
+ * @param limits bounds on connections
+ * @param catalogue the catalogue in force
+ * @param router brings calls to targets
+ * @param local answers requests to the node itself, if this address has any
+ * @param localPrefix the path prefix of requests to the node itself
+ * @param leaving whether answers close their connections
+ * @param metrics counts calls and their ends
+ */
+record IngressSettings(
+        HttpLimits limits,
+        Supplier<Catalogue> catalogue,
+        CallRouter router,
+        Optional<LocalEndpoint> local,
+        String localPrefix,
+        BooleanSupplier leaving,
+        IngressMetrics metrics) {
+    IngressSettings {
+        Objects.requireNonNull(limits, "limits is null");
+        Objects.requireNonNull(catalogue, "catalogue is null");
+        Objects.requireNonNull(router, "router is null");
+    }
+
+    boolean isLeaving() {
+        return leaving.getAsBoolean();
+    }
+
+    TargetLoad absentLoad() {
+        return TargetLoad.ABSENT;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/LocalExchange.java
@@ -0,0 +1,78 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.peer.AnswerHead;
+import io.bilberrylane.peer.AnswerSink;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.HeaderField;
+import io.bilberrylane.policy.TargetLoad;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Gathers the body of a request to the node itself and sends its answer. */
+final class LocalExchange implements BodySink {
+    private final LocalEndpoint mEndpoint;
+    private final CallHead mHead;
+    private final AnswerSink mSink;
+    private final StringBuilder mBody = new StringBuilder();
+    private boolean mCancelled;
+
+    private LocalExchange(
+            final LocalEndpoint endpoint, final CallHead head, final AnswerSink sink) {
+        mEndpoint = endpoint;
+        mHead = head;
+        mSink = sink;
+    }
+
+    static BodySink open(final LocalEndpoint endpoint, final CallHead head, final AnswerSink sink) {
+        final LocalExchange exchange = new LocalExchange(endpoint, head, sink);
+        sink.onAdmitted(TargetLoad.ABSENT);
+        if (!head.hasBody()) {
+            exchange.end();
+        }
+        return exchange;
+    }
+
+    @Override
+    public void data(final ByteBuf bytes) {
+        mBody.append(bytes.toString(StandardCharsets.UTF_8));
+        mSink.onCredit(bytes.readableBytes());
+        bytes.release();
+        if (mBody.length() > LocalEndpoint.MAX_BODY_BYTES && !mCancelled) {
+            mCancelled = true;
+            mSink.onFailed(ErrorCode.BODY_TOO_LARGE, CallPhase.REFUSED);
+        }
+    }
+
+    @Override
+    public void end() {
+        if (mCancelled) {
+            return;
+        }
+        final String path = mHead.uri().split("\\?", 2)[0];
+        final LocalAnswer answer = mEndpoint.answer(mHead.method(), path, mBody.toString());
+        final byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
+        mSink.onHead(
+                new AnswerHead(
+                        answer.status(),
+                        List.of(
+                                new HeaderField("Content-Type", answer.contentType()),
+                                new HeaderField("Content-Length", String.valueOf(body.length)))));
+        mSink.onData(Unpooled.wrappedBuffer(body));
+        mSink.onEnd(TargetLoad.ABSENT);
+    }
+
+    @Override
+    public void cancel() {
+        mCancelled = true;
+    }
+
+    @Override
+    public void credit(final int bytes) {
+        // The whole answer was sent at once.
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -0,0 +1,201 @@
+package io.bilberrylane.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
+
+/** One connection to a target; serves one exchange at a time. Belongs to its event loop. */
+public final class TargetConnection extends ChannelInboundHandlerAdapter {
+    private final TargetPool mPool;
+    private Channel mChannel;
+    private TargetListener mListener;
+    private boolean mSkippingInformational;
+    private boolean mReusable;
+    private boolean mRequestDone;
+    private long mIdleSinceNanos = System.nanoTime();
+
+    TargetConnection(final TargetPool pool) {
+        mPool = pool;
+    }
+
+    void attach(final Channel channel) {
+        mChannel = channel;
+    }
+
+    EventLoop eventLoop() {
+        return mChannel.eventLoop();
+    }
+
+    boolean isOpen() {
+        return mChannel.isActive();
+    }
+
+    long idleNanos(final long nowNanos) {
+        return nowNanos - mIdleSinceNanos;
+    }
+
+    // -- exchange
+
+    /**
+     * Starts an exchange; the target may have seen the call afterwards.
+     *
+     * @param request the head
+     * @param endsHere whether the request has no body
+     * @param listener receives the answer
+     */
+    public void send(
+            final HttpRequest request, final boolean endsHere, final TargetListener listener) {
+        mListener = listener;
+        mReusable = true;
+        mRequestDone = endsHere;
+        mChannel.write(request);
+        if (endsHere) {
+            mChannel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+        mChannel.flush();
+        mChannel.read();
+    }
+
+    /**
+     * Sends a part of the request's body.
+     *
+     * @param bytes taken over
+     */
+    public void sendBody(final ByteBuf bytes) {
+        final int length = bytes.readableBytes();
+        mChannel.writeAndFlush(new DefaultHttpContent(bytes))
+                .addListener(
+                        done -> {
+                            if (done.isSuccess() && mListener != null) {
+                                mListener.onWritten(length);
+                            }
+                        });
+    }
+
+    /** Ends the request's body. */
+    public void endBody() {
+        mRequestDone = true;
+        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Asks for the next part of the answer. */
+    public void read() {
+        mChannel.read();
+    }
+
+    /** Gives the exchange up and closes the connection, which tells the target. */
+    public void abort() {
+        mListener = null;
+        mChannel.close();
+    }
+
+    // -- events
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        ctx.read();
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext ctx, final Object message) {
+        if (mListener == null) {
+            ReferenceCountUtil.release(message);
+            ctx.close();
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            onResponse(ctx, response);
+        } else if (message instanceof HttpContent content) {
+            onContent(ctx, content);
+        }
+    }
+
+    private void onResponse(final ChannelHandlerContext ctx, final HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            broken(response.decoderResult().cause());
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            mSkippingInformational = true;
+            ctx.read();
+            return;
+        }
+        mReusable = HttpUtil.isKeepAlive(response);
+        mListener.onResponse(response);
+        ctx.read();
+    }
+
+    private void onContent(final ChannelHandlerContext ctx, final HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            content.release();
+            broken(content.decoderResult().cause());
+            return;
+        }
+        final boolean last = content instanceof LastHttpContent;
+        if (mSkippingInformational) {
+            content.release();
+            mSkippingInformational = !last;
+            ctx.read();
+            return;
+        }
+        if (content.content().isReadable()) {
+            mListener.onContent(content.content());
+        } else {
+            content.release();
+            if (!last) {
+                ctx.read();
+            }
+        }
+        if (last) {
+            complete(ctx);
+        }
+    }
+
+    private void complete(final ChannelHandlerContext ctx) {
+        final TargetListener listener = mListener;
+        if (listener == null) {
+            return;
+        }
+        mListener = null;
+        mIdleSinceNanos = System.nanoTime();
+        if (mReusable && mRequestDone && ctx.channel().isActive()) {
+            ctx.read();
+            mPool.release(this);
+        } else {
+            ctx.close();
+        }
+        listener.onComplete();
+    }
+
+    private void broken(final Throwable cause) {
+        final TargetListener listener = mListener;
+        mListener = null;
+        mChannel.close();
+        if (listener != null) {
+            listener.onBroken(cause);
+        }
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        mPool.closed(this);
+        broken(new ClosedChannelException());
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        broken(cause instanceof IOException ? cause : new IOException(cause));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/http/TargetPool.java
@@ -0,0 +1,230 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.base.LockRank;
+import io.bilberrylane.base.RankedLock;
+import io.bilberrylane.net.Transport;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.flow.FlowControlHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The connections to one target, never more than it accepts, some of them kept warm. */
+public final class TargetPool implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int MAX_LINE_BYTES = 16 * 1024;
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_CHUNK_BYTES = 16 * 1024;
+
+    private final Transport mTransport;
+    private final TargetAddress mTarget;
+    private final RankedLock mLock = RankedLock.of(LockRank.TARGET_POOL);
+    private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
+    private int mOpen;
+    private boolean mClosed;
+
+    private TargetPool(final Transport transport, final TargetAddress target) {
+        mTransport = transport;
+        mTarget = target;
+    }
+
+    /**
+     * Returns a pool that opens its warm connections at once.
+     *
+     * @param transport threads and channel types
+     * @param target where to connect
+     * @return the pool
+     */
+    public static TargetPool of(final Transport transport, final TargetAddress target) {
+        final TargetPool pool =
+                new TargetPool(
+                        Objects.requireNonNull(transport, "transport is null"),
+                        Objects.requireNonNull(target, "target is null"));
+        pool.warm();
+        return pool;
+    }
+
+    // -- use
+
+    /**
+     * Takes a connection.
+     *
+     * @param loop where the connection should live if a new one is opened
+     * @param maxIdleNanos an idle connection unused for longer is replaced, in nanoseconds
+     * @param onReady takes the connection, on the connection's event loop
+     * @param onFailed takes the reason; the target has not seen anything
+     */
+    public void acquire(
+            final EventLoop loop,
+            final long maxIdleNanos,
+            final Consumer<TargetConnection> onReady,
+            final Consumer<Throwable> onFailed) {
+        final Optional<TargetConnection> idle = mLock.get(() -> takeIdle(loop, maxIdleNanos));
+        if (idle.isPresent()) {
+            final TargetConnection connection = idle.get();
+            runOn(connection.eventLoop(), () -> onReady.accept(connection));
+            warm();
+            return;
+        }
+        open(loop, onReady, onFailed);
+    }
+
+    /**
+     * Returns the number of connections, open or opening.
+     *
+     * @return at most what the target accepts
+     */
+    public int open() {
+        return mLock.get(() -> mOpen);
+    }
+
+    private Optional<TargetConnection> takeIdle(final EventLoop loop, final long maxIdleNanos) {
+        final long now = System.nanoTime();
+        final Iterator<TargetConnection> connections = mIdle.iterator();
+        TargetConnection other = null;
+        while (connections.hasNext()) {
+            final TargetConnection connection = connections.next();
+            if (connection.idleNanos(now) > maxIdleNanos || !connection.isOpen()) {
+                continue;
+            }
+            if (connection.eventLoop() == loop) {
+                connections.remove();
+                return Optional.of(connection);
+            }
+            other = other == null ? connection : other;
+        }
+        if (other != null) {
+            mIdle.remove(other);
+        }
+        return Optional.ofNullable(other);
+    }
+
+    // -- connections
+
+    private void warm() {
+        final int missing =
+                mLock.get(
+                        () ->
+                                mClosed
+                                        ? 0
+                                        : Math.min(
+                                                mTarget.warmConnections() - mIdle.size(),
+                                                mTarget.connections() - mOpen));
+        if (missing > 0) {
+            open(mTransport.group().next(), this::release, cause -> {});
+        }
+    }
+
+    private void open(
+            final EventLoop loop,
+            final Consumer<TargetConnection> onReady,
+            final Consumer<Throwable> onFailed) {
+        final boolean allowed = mLock.get(this::reserve);
+        if (!allowed) {
+            onFailed.accept(
+                    new BilberrylaneException(
+                            ErrorCode.TARGET_UNREACHABLE, "the target accepts no connection"));
+            return;
+        }
+        final TargetConnection connection = new TargetConnection(this);
+        mTransport
+                .clientBootstrap(loop)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(
+                        new ChannelInitializer<>() {
+                            @Override
+                            protected void initChannel(final Channel channel) {
+                                connection.attach(channel);
+                                channel.pipeline()
+                                        .addLast(
+                                                new HttpClientCodec(
+                                                        MAX_LINE_BYTES,
+                                                        MAX_HEAD_BYTES,
+                                                        MAX_CHUNK_BYTES))
+                                        .addLast(new FlowControlHandler())
+                                        .addLast(connection);
+                            }
+                        })
+                .connect(mTarget.address())
+                .addListener(
+                        done -> {
+                            if (done.isSuccess()) {
+                                onReady.accept(connection);
+                            } else {
+                                mLock.run(() -> mOpen--);
+                                onFailed.accept(done.cause());
+                            }
+                        });
+    }
+
+    private boolean reserve() {
+        if (mClosed) {
+            return false;
+        }
+        if (mOpen >= mTarget.connections()) {
+            final TargetConnection oldest = mIdle.pollLast();
+            if (oldest != null) {
+                runOn(oldest.eventLoop(), oldest::abort);
+            }
+            return false;
+        }
+        mOpen++;
+        return true;
+    }
+
+    void release(final TargetConnection connection) {
+        final boolean kept =
+                mLock.get(
+                        () -> {
+                            if (mClosed) {
+                                return false;
+                            }
+                            mIdle.addFirst(connection);
+                            return true;
+                        });
+        if (!kept) {
+            connection.abort();
+        }
+    }
+
+    void closed(final TargetConnection connection) {
+        mLock.run(
+                () -> {
+                    mOpen--;
+                    mIdle.remove(connection);
+                });
+    }
+
+    private static void runOn(final EventLoop loop, final Runnable action) {
+        if (loop.inEventLoop()) {
+            action.run();
+        } else {
+            loop.execute(action);
+        }
+    }
+
+    @Override
+    public void close() {
+        final List<TargetConnection> idle =
+                mLock.get(
+                        () -> {
+                            mClosed = true;
+                            final List<TargetConnection> all = List.copyOf(mIdle);
+                            mIdle.clear();
+                            return all;
+                        });
+        idle.forEach(connection -> runOn(connection.eventLoop(), connection::abort));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/membership/MemberTable.java
@@ -0,0 +1,216 @@
+package io.bilberrylane.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * All members that a node knows, itself included, and what it still has to pass on. Versions only
+ * grow: an older record never replaces a newer one. Not thread-safe.
+ */
+public final class MemberTable {
+    private static final class Entry {
+        private Member mMember;
+        private long mChangedNanos;
+        private int mTransmissions;
+    }
+
+    private final SwimSettings mSettings;
+    private final Map<String, Entry> mEntries = new HashMap<>();
+    private Member mSelf;
+    private long mRefutations;
+
+    private MemberTable(final SwimSettings settings, final Member self) {
+        mSettings = settings;
+        mSelf = self;
+    }
+
+    /**
+     * Returns a table that holds only its owner.
+     *
+     * @param settings the pace of the protocol
+     * @param self the owner's record
+     * @param nowNanos the monotonic clock
+     * @return the table
+     */
+    public static MemberTable of(
+            final SwimSettings settings, final Member self, final long nowNanos) {
+        final MemberTable table = new MemberTable(settings, self);
+        table.store(Objects.requireNonNull(self, "self is null"), nowNanos);
+        return table;
+    }
+
+    // -- queries
+
+    /**
+     * Returns the owner's record.
+     *
+     * @return the newest record
+     */
+    public Member self() {
+        return mSelf;
+    }
+
+    /**
+     * Returns all records.
+     *
+     * @return a copy, dead members included
+     */
+    public List<Member> members() {
+        return mEntries.values().stream().map(entry -> entry.mMember).toList();
+    }
+
+    /**
+     * Returns the record of a host.
+     *
+     * @param host the host
+     * @return its record, if it is known
+     */
+    public Optional<Member> member(final String host) {
+        return Optional.ofNullable(mEntries.get(host)).map(entry -> entry.mMember);
+    }
+
+    /**
+     * Returns how many members may serve calls, the owner included.
+     *
+     * @return at least 1 while the owner is present
+     */
+    public int presentCount() {
+        return (int) mEntries.values().stream().filter(e -> e.mMember.isPresent()).count();
+    }
+
+    /**
+     * Returns how often the owner had to refute a suspicion against itself.
+     *
+     * @return a count that only grows
+     */
+    public long refutations() {
+        return mRefutations;
+    }
+
+    // -- changes
+
+    /**
+     * Replaces the owner's record and passes it on.
+     *
+     * @param changed the record; its revision is set here
+     * @param nowNanos the monotonic clock
+     */
+    public void updateSelf(final Member changed, final long nowNanos) {
+        mSelf = withRevision(changed, mSelf.revision() + 1);
+        store(mSelf, nowNanos);
+    }
+
+    /**
+     * Takes over records of another node.
+     *
+     * @param updates the records
+     * @param nowNanos the monotonic clock
+     * @return the records that were news
+     */
+    public List<Member> merge(final Collection<Member> updates, final long nowNanos) {
+        final List<Member> news = new ArrayList<>();
+        for (final Member update : updates) {
+            if (update.host().equals(mSelf.host())) {
+                refute(update, nowNanos);
+            } else if (isNews(update)) {
+                store(update, nowNanos);
+                news.add(update);
+            }
+        }
+        return news;
+    }
+
+    /**
+     * Moves every suspect that had its time to dead and forgets members that are long gone.
+     *
+     * @param suspicionNanos time that a suspect has, in nanoseconds
+     * @param nowNanos the monotonic clock
+     * @return the members that were declared dead
+     */
+    public List<Member> expire(final long suspicionNanos, final long nowNanos) {
+        final List<Member> dead = new ArrayList<>();
+        for (final Entry entry : List.copyOf(mEntries.values())) {
+            final long ageNanos = nowNanos - entry.mChangedNanos;
+            if (entry.mMember.status() == MemberStatus.SUSPECT && ageNanos >= suspicionNanos) {
+                final Member member = entry.mMember.withStatus(MemberStatus.DEAD);
+                store(member, nowNanos);
+                dead.add(member);
+            } else if (!entry.mMember.isPresent() && ageNanos >= mSettings.forgetNanos()) {
+                mEntries.remove(entry.mMember.host());
+            }
+        }
+        return dead;
+    }
+
+    /**
+     * Gives every suspect its full time again, after the owner itself stood still.
+     *
+     * @param nowNanos the monotonic clock
+     */
+    public void restartSuspicions(final long nowNanos) {
+        mEntries.values().stream()
+                .filter(entry -> entry.mMember.status() == MemberStatus.SUSPECT)
+                .forEach(entry -> entry.mChangedNanos = nowNanos);
+    }
+
+    /**
+     * Returns the records to pass on next, the least passed on first.
+     *
+     * @return at most as many as one datagram carries
+     */
+    public List<Member> takeUpdates() {
+        final int most =
+                (int) Math.ceil(mSettings.retransmitFactor() * Math.log(mEntries.size() + 1.0)) + 1;
+        final List<Entry> due =
+                mEntries.values().stream()
+                        .filter(entry -> entry.mTransmissions < most)
+                        .sorted(Comparator.comparingInt(entry -> entry.mTransmissions))
+                        .limit(mSettings.updatesPerMessage())
+                        .toList();
+        due.forEach(entry -> entry.mTransmissions++);
+        return due.stream().map(entry -> entry.mMember).toList();
+    }
+
+    // -- records
+
+    private boolean isNews(final Member update) {
+        final Entry known = mEntries.get(update.host());
+        return known == null ? update.isPresent() : update.supersedes(known.mMember);
+    }
+
+    private void refute(final Member update, final long nowNanos) {
+        final boolean wrong =
+                update.incarnation() == mSelf.incarnation()
+                        && update.revision() >= mSelf.revision()
+                        && update.status() != mSelf.status();
+        if (wrong) {
+            mRefutations++;
+            mSelf = withRevision(mSelf, update.revision() + 1);
+            store(mSelf, nowNanos);
+        }
+    }
+
+    private void store(final Member member, final long nowNanos) {
+        final Entry entry = mEntries.computeIfAbsent(member.host(), host -> new Entry());
+        entry.mMember = member;
+        entry.mChangedNanos = nowNanos;
+        entry.mTransmissions = 0;
+    }
+
+    private static Member withRevision(final Member member, final long revision) {
+        return new Member(
+                member.host(),
+                member.dataCentre(),
+                member.peerAddress(),
+                member.incarnation(),
+                revision,
+                member.status(),
+                member.target());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/membership/Swim.java
@@ -0,0 +1,281 @@
+package io.bilberrylane.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * Failure detection by random pings with suspicion; a constant load for each node.
+ *
+ * <p>An observer that misses answers, or that has to refute suspicions against itself, doubts
+ * itself first: it waits longer before it suspects others. Not thread-safe.
+ */
+public final class Swim {
+    private static final int MAX_SELF_DOUBT = 8;
+    private static final int PAUSE_PERIODS = 3;
+
+    private final SwimSettings mSettings;
+    private final MemberTable mTable;
+    private final Random mRandom;
+    private final List<String> mOrder = new ArrayList<>();
+    private final Map<Long, Relay> mRelays = new HashMap<>();
+    private long mSequence = 1;
+    private long mPeriodStartNanos;
+    private long mLastTickNanos;
+    private boolean mStarted;
+    private String mSubject = "";
+    private long mSubjectSequence;
+    private boolean mIndirectSent;
+    private int mSelfDoubt;
+    private long mSeenRefutations;
+    private long mConfigurationVersion;
+
+    private record Relay(String asker, long askerSequence, long createdNanos) {}
+
+    private Swim(final SwimSettings settings, final MemberTable table, final Random random) {
+        mSettings = settings;
+        mTable = table;
+        mRandom = random;
+    }
+
+    /**
+     * Returns a detector over a table.
+     *
+     * @param settings the pace of the protocol
+     * @param table the members, changed by the detector
+     * @param random picks whom to ping
+     * @return a detector that has sent nothing
+     */
+    public static Swim of(
+            final SwimSettings settings, final MemberTable table, final Random random) {
+        return new Swim(settings, table, random);
+    }
+
+    /**
+     * Returns how much the observer doubts itself.
+     *
+     * @return 0 when healthy, at most 8
+     */
+    public int selfDoubt() {
+        return mSelfDoubt;
+    }
+
+    /**
+     * Sets the version of the configuration that every datagram tells.
+     *
+     * @param version the version in force at the owner
+     */
+    public void tellConfigurationVersion(final long version) {
+        mConfigurationVersion = Math.max(mConfigurationVersion, version);
+    }
+
+    // -- time
+
+    /**
+     * Advances the protocol; to be called several times in each period.
+     *
+     * @param nowNanos the monotonic clock
+     * @return datagrams to send
+     */
+    public List<Outgoing> tick(final long nowNanos) {
+        final List<Outgoing> out = new ArrayList<>();
+        if (!mStarted || nowNanos - mLastTickNanos > PAUSE_PERIODS * mSettings.periodNanos()) {
+            restart(nowNanos);
+        }
+        mLastTickNanos = nowNanos;
+        noteRefutations();
+        mTable.expire(suspicionNanos(), nowNanos);
+        mRelays.values()
+                .removeIf(relay -> nowNanos - relay.createdNanos() > mSettings.periodNanos() * 4);
+        if (nowNanos - mPeriodStartNanos >= mSettings.periodNanos() * (1 + mSelfDoubt / 2)) {
+            endPeriod(nowNanos);
+            startPeriod(nowNanos, out);
+        } else if (needsIndirect(nowNanos)) {
+            mIndirectSent = true;
+            askOthers(out);
+        }
+        return out;
+    }
+
+    private void restart(final long nowNanos) {
+        if (mStarted) {
+            doubt(1);
+            mTable.restartSuspicions(nowNanos);
+        }
+        mStarted = true;
+        mSubject = "";
+        mPeriodStartNanos = nowNanos - mSettings.periodNanos() * (1 + mSelfDoubt / 2);
+    }
+
+    private void endPeriod(final long nowNanos) {
+        if (mSubject.isEmpty()) {
+            return;
+        }
+        doubt(1);
+        mTable.member(mSubject)
+                .filter(member -> member.status() == MemberStatus.ALIVE)
+                .ifPresent(
+                        member ->
+                                mTable.merge(
+                                        List.of(member.withStatus(MemberStatus.SUSPECT)),
+                                        nowNanos));
+        mSubject = "";
+    }
+
+    private void startPeriod(final long nowNanos, final List<Outgoing> out) {
+        mPeriodStartNanos = nowNanos;
+        final Optional<Member> next = nextSubject();
+        if (next.isEmpty()) {
+            return;
+        }
+        mSubject = next.get().host();
+        mSubjectSequence = mSequence++;
+        mIndirectSent = false;
+        out.add(ping(next.get(), mSubjectSequence));
+    }
+
+    private boolean needsIndirect(final long nowNanos) {
+        return !mSubject.isEmpty()
+                && !mIndirectSent
+                && nowNanos - mPeriodStartNanos
+                        >= mSettings.ackTimeoutNanos() * (1 + mSelfDoubt / 2);
+    }
+
+    private void askOthers(final List<Outgoing> out) {
+        final List<Member> others =
+                new ArrayList<>(
+                        mTable.members().stream()
+                                .filter(member -> member.status() == MemberStatus.ALIVE)
+                                .filter(member -> !member.host().equals(mSubject))
+                                .filter(member -> !isSelf(member))
+                                .toList());
+        Collections.shuffle(others, mRandom);
+        for (final Member other :
+                others.subList(0, Math.min(others.size(), mSettings.indirectPings()))) {
+            out.add(
+                    new Outgoing(
+                            other.peerAddress(),
+                            new SwimMessage.PingRequest(
+                                    mTable.self().host(),
+                                    mSubjectSequence,
+                                    mSubject,
+                                    mConfigurationVersion,
+                                    mTable.takeUpdates())));
+        }
+    }
+
+    private Optional<Member> nextSubject() {
+        for (int tries = 0; tries < 2; tries++) {
+            while (!mOrder.isEmpty()) {
+                final Optional<Member> member =
+                        mTable.member(mOrder.remove(mOrder.size() - 1)).filter(Member::isPresent);
+                if (member.isPresent()) {
+                    return member;
+                }
+            }
+            mTable.members().stream()
+                    .filter(Member::isPresent)
+                    .filter(member -> !isSelf(member))
+                    .forEach(member -> mOrder.add(member.host()));
+            Collections.shuffle(mOrder, mRandom);
+        }
+        return Optional.empty();
+    }
+
+    // -- messages
+
+    /**
+     * Takes a datagram.
+     *
+     * @param message the datagram
+     * @param nowNanos the monotonic clock
+     * @return datagrams to send
+     */
+    public List<Outgoing> receive(final SwimMessage message, final long nowNanos) {
+        mTable.merge(message.updates(), nowNanos);
+        return switch (message) {
+            case SwimMessage.Ping ping -> onPing(ping);
+            case SwimMessage.Ack ack -> onAck(ack);
+            case SwimMessage.PingRequest request -> onPingRequest(request, nowNanos);
+        };
+    }
+
+    private List<Outgoing> onPing(final SwimMessage.Ping ping) {
+        return mTable.member(ping.from())
+                .map(member -> List.of(ack(member, ping.sequence())))
+                .orElse(List.of());
+    }
+
+    private List<Outgoing> onAck(final SwimMessage.Ack ack) {
+        if (ack.sequence() == mSubjectSequence) {
+            mSubject = "";
+            doubt(-1);
+            return List.of();
+        }
+        final Relay relay = mRelays.remove(ack.sequence());
+        if (relay == null) {
+            return List.of();
+        }
+        return mTable.member(relay.asker())
+                .map(asker -> List.of(ack(asker, relay.askerSequence())))
+                .orElse(List.of());
+    }
+
+    private List<Outgoing> onPingRequest(
+            final SwimMessage.PingRequest request, final long nowNanos) {
+        final Optional<Member> subject = mTable.member(request.subject());
+        if (subject.isEmpty()) {
+            return List.of();
+        }
+        final long sequence = mSequence++;
+        mRelays.put(sequence, new Relay(request.from(), request.sequence(), nowNanos));
+        return List.of(ping(subject.get(), sequence));
+    }
+
+    private Outgoing ping(final Member to, final long sequence) {
+        return new Outgoing(
+                to.peerAddress(),
+                new SwimMessage.Ping(
+                        mTable.self().host(),
+                        sequence,
+                        mConfigurationVersion,
+                        mTable.takeUpdates()));
+    }
+
+    private Outgoing ack(final Member to, final long sequence) {
+        return new Outgoing(
+                to.peerAddress(),
+                new SwimMessage.Ack(
+                        mTable.self().host(),
+                        sequence,
+                        mConfigurationVersion,
+                        mTable.takeUpdates()));
+    }
+
+    // -- self-doubt
+
+    private void noteRefutations() {
+        if (mTable.refutations() > mSeenRefutations) {
+            mSeenRefutations = mTable.refutations();
+            doubt(1);
+        }
+    }
+
+    private void doubt(final int change) {
+        mSelfDoubt = Math.max(0, Math.min(MAX_SELF_DOUBT, mSelfDoubt + change));
+    }
+
+    private long suspicionNanos() {
+        final double scale = Math.max(1.0, Math.log10(mTable.members().size() + 1.0));
+        return (long)
+                (mSettings.suspicionPeriods() * scale * mSettings.periodNanos() * (1 + mSelfDoubt));
+    }
+
+    private boolean isSelf(final Member member) {
+        return member.host().equals(mTable.self().host());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/net/HttpCaller.java
@@ -0,0 +1,159 @@
+package io.bilberrylane.net;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Makes short HTTP calls, one connection for each. */
+public final class HttpCaller {
+    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+    private final Transport mTransport;
+
+    private HttpCaller(final Transport transport) {
+        mTransport = transport;
+    }
+
+    /**
+     * Returns a caller.
+     *
+     * @param transport threads and channel types
+     * @return a caller without open connections
+     */
+    public static HttpCaller of(final Transport transport) {
+        return new HttpCaller(Objects.requireNonNull(transport, "transport is null"));
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param address where to connect
+     * @param method the HTTP method
+     * @param uri the request target
+     * @param body the body, or empty
+     * @param timeoutMillis the longest time for the call, in milliseconds
+     * @return the answer; fails with an {@link IOException} when there is none
+     */
+    public CompletableFuture<HttpReply> call(
+            final InetSocketAddress address,
+            final HttpMethod method,
+            final String uri,
+            final String body,
+            final long timeoutMillis) {
+        final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        final ChannelFuture future =
+                mTransport
+                        .clientBootstrap()
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeoutMillis)
+                        .handler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(final Channel channel) {
+                                        channel.pipeline()
+                                                .addLast(new HttpClientCodec())
+                                                .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                                                .addLast(new ReplyHandler(reply));
+                                    }
+                                })
+                        .connect(address);
+        future.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        future.channel().writeAndFlush(request(address, method, uri, body));
+                    } else {
+                        reply.completeExceptionally(done.cause());
+                    }
+                });
+        expireLater(reply, future, timeoutMillis);
+        return reply;
+    }
+
+    /**
+     * Returns a request with a short body.
+     *
+     * @param address the server, for the Host header
+     * @param method the HTTP method
+     * @param uri the request target
+     * @param body the body, or empty
+     * @return the request
+     */
+    public static FullHttpRequest request(
+            final InetSocketAddress address,
+            final HttpMethod method,
+            final String uri,
+            final String body) {
+        final byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        final FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(bytes));
+        request.headers().set(HttpHeaderNames.HOST, address.getHostString());
+        request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+        return request;
+    }
+
+    private static void expireLater(
+            final CompletableFuture<HttpReply> reply,
+            final ChannelFuture future,
+            final long timeoutMillis) {
+        future.channel()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            final String message = "no answer in " + timeoutMillis + " ms";
+                            if (reply.completeExceptionally(new IOException(message))) {
+                                future.channel().close();
+                            }
+                        },
+                        timeoutMillis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final CompletableFuture<HttpReply> mReply;
+
+        private ReplyHandler(final CompletableFuture<HttpReply> reply) {
+            mReply = reply;
+        }
+
+        @Override
+        protected void channelRead0(
+                final ChannelHandlerContext ctx, final FullHttpResponse response) {
+            mReply.complete(
+                    new HttpReply(
+                            response.status().code(),
+                            response.content().toString(StandardCharsets.UTF_8)));
+            ctx.close();
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext ctx) {
+            mReply.completeExceptionally(new IOException("connection closed before the answer"));
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            mReply.completeExceptionally(cause);
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/net/HttpReply.java
@@ -0,0 +1,25 @@
+package io.bilberrylane.net;
+
+import java.util.Objects;
+
+/**
+ * A short answer, read whole.
+ *
+ * @param status the HTTP status
+ * @param body the body as UTF-8
+ */
+public record HttpReply(int status, String body) {
+    /** Checks that there is a body. */
+    public HttpReply {
+        Objects.requireNonNull(body, "body is null");
+    }
+
+    /**
+     * Returns whether the call succeeded.
+     *
+     * @return true for 2xx
+     */
+    public boolean isSuccess() {
+        return status / 100 == 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -0,0 +1,117 @@
+package io.bilberrylane.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollDatagramChannel;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.EventExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** The pool of workers and the channel types that fit this machine. */
+public final class Transport implements AutoCloseable {
+    private static final long SHUTDOWN_TIMEOUT_MILLIS = 2_000;
+
+    private final EventLoopGroup mGroup;
+    private final boolean mEpoll;
+
+    private Transport(final EventLoopGroup group, final boolean epoll) {
+        mGroup = group;
+        mEpoll = epoll;
+    }
+
+    /**
+     * Returns a transport with its own workers.
+     *
+     * @param workers the number of threads
+     * @return a running transport, with epoll where the machine has it
+     */
+    public static Transport of(final int workers) {
+        final boolean epoll = Epoll.isAvailable();
+        final IoHandlerFactory factory =
+                epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
+        return new Transport(new MultiThreadIoEventLoopGroup(workers, factory), epoll);
+    }
+
+    /**
+     * Returns the workers.
+     *
+     * @return an event loop group
+     */
+    public EventLoopGroup group() {
+        return mGroup;
+    }
+
+    /**
+     * Returns the worker that runs the current thread, or any other.
+     *
+     * @return an event loop of this transport
+     */
+    public EventLoop currentOrAnyLoop() {
+        for (final EventExecutor executor : mGroup) {
+            if (executor.inEventLoop()) {
+                return (EventLoop) executor;
+            }
+        }
+        return mGroup.next();
+    }
+
+    /**
+     * Returns a bootstrap for TCP servers.
+     *
+     * @return without handlers
+     */
+    public ServerBootstrap serverBootstrap() {
+        return new ServerBootstrap()
+                .group(mGroup)
+                .channel(mEpoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class);
+    }
+
+    /**
+     * Returns a bootstrap for TCP clients.
+     *
+     * @return without handlers
+     */
+    public Bootstrap clientBootstrap() {
+        return clientBootstrap(mGroup);
+    }
+
+    /**
+     * Returns a bootstrap for TCP clients that live on given workers.
+     *
+     * @param workers one event loop, or a group
+     * @return without handlers
+     */
+    public Bootstrap clientBootstrap(final EventLoopGroup workers) {
+        return new Bootstrap()
+                .group(workers)
+                .channel(mEpoll ? EpollSocketChannel.class : NioSocketChannel.class);
+    }
+
+    /**
+     * Returns a bootstrap for UDP.
+     *
+     * @return without handlers
+     */
+    public Bootstrap datagramBootstrap() {
+        return new Bootstrap()
+                .group(mGroup)
+                .channel(mEpoll ? EpollDatagramChannel.class : NioDatagramChannel.class);
+    }
+
+    @Override
+    public void close() {
+        mGroup.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -0,0 +1,340 @@
+package io.bilberrylane.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.base.LockRank;
+import io.bilberrylane.base.RankedLock;
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.catalogue.Limits;
+import io.bilberrylane.catalogue.ServiceClass;
+import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.http.TargetAddress;
+import io.bilberrylane.http.TargetPool;
+import io.bilberrylane.membership.TargetRecord;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.outcome.CallTable;
+import io.bilberrylane.peer.AnswerSink;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.CallOpener;
+import io.bilberrylane.policy.AdmissionDecision;
+import io.bilberrylane.policy.GateAdmission;
+import io.bilberrylane.policy.Settled;
+import io.bilberrylane.policy.TargetLoad;
+import io.bilberrylane.policy.Ticket;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** The only way to the target beside this node; has the last word on every call. */
+public final class Gate implements CallOpener, AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long OUTCOME_RETENTION_SECONDS = 60;
+    private static final int SPARE_CONNECTIONS = 2;
+
+    private final Transport mTransport;
+    private final NodeSettings mSettings;
+    private final Supplier<Catalogue> mCatalogue;
+    private final RankedLock mAdmissionLock = RankedLock.of(LockRank.ADMISSION);
+    private final RankedLock mOutcomeLock = RankedLock.of(LockRank.OUTCOME);
+    private final CallTable mCalls =
+            CallTable.of(TimeUnit.SECONDS.toNanos(OUTCOME_RETENTION_SECONDS));
+    private final Map<String, GateCall> mWaiting = new HashMap<>();
+    private volatile GateTarget mTarget;
+    private volatile boolean mLeaving;
+    private volatile long mLeaseEndNanos;
+
+    private Gate(
+            final Transport transport,
+            final NodeSettings settings,
+            final Supplier<Catalogue> catalogue) {
+        mTransport = transport;
+        mSettings = settings;
+        mCatalogue = catalogue;
+    }
+
+    /**
+     * Returns a gate without a target.
+     *
+     * @param transport threads and channel types
+     * @param settings the node's settings
+     * @param catalogue the catalogue in force
+     * @return the gate
+     */
+    public static Gate of(
+            final Transport transport,
+            final NodeSettings settings,
+            final Supplier<Catalogue> catalogue) {
+        return new Gate(transport, settings, catalogue);
+    }
+
+    // -- target
+
+    /**
+     * Takes an announcement; a new process gets a new, cold state.
+     *
+     * @param announcement what the target says
+     * @param address the target's address
+     * @return whether other nodes must learn of it
+     */
+    public boolean announce(
+            final TargetAnnouncement announcement, final InetSocketAddress address) {
+        mLeaseEndNanos =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(announcement.leaseMillis());
+        final GateTarget known = mTarget;
+        if (known != null && announcement.isRenewalOf(known.announcement())) {
+            return renew(known, announcement);
+        }
+        final GateAdmission admission =
+                GateAdmission.of(announcement.slots(), announcement.coldSlots());
+        final int warm = Math.min(announcement.slots() + SPARE_CONNECTIONS, 1 + SPARE_CONNECTIONS);
+        final TargetPool pool =
+                TargetPool.of(
+                        mTransport, new TargetAddress(address, announcement.connections(), warm));
+        if (announcement.draining() || mLeaving) {
+            admission.stop();
+        }
+        mTarget = new GateTarget(announcement, admission, pool);
+        LOGGER.atInfo().log(
+                "target announced: service %s at %s with %d slots",
+                announcement.service(), address, announcement.slots());
+        if (known != null) {
+            retire(known);
+        }
+        return true;
+    }
+
+    private boolean renew(final GateTarget known, final TargetAnnouncement announcement) {
+        final boolean changed = announcement.draining() != known.announcement().draining();
+        if (announcement.cold() && !known.announcement().cold()) {
+            mAdmissionLock.run(known.admission()::turnCold);
+        }
+        mTarget = new GateTarget(announcement, known.admission(), known.pool());
+        if (changed && announcement.draining()) {
+            stopAdmission(known);
+        } else if (changed && !mLeaving) {
+            mAdmissionLock.run(known.admission()::resume);
+        }
+        return changed;
+    }
+
+    /**
+     * Removes the target when its announcement was not renewed.
+     *
+     * @param nowNanos the monotonic clock
+     * @return whether it was removed
+     */
+    public boolean expireTarget(final long nowNanos) {
+        final GateTarget target = mTarget;
+        if (target == null || nowNanos - mLeaseEndNanos < 0) {
+            return false;
+        }
+        return withdrawTarget();
+    }
+
+    /**
+     * Removes the target at once.
+     *
+     * @return whether there was one
+     */
+    public boolean withdrawTarget() {
+        final GateTarget target = mTarget;
+        if (target == null) {
+            return false;
+        }
+        mTarget = null;
+        LOGGER.atInfo().log("target of service %s is gone", target.announcement().service());
+        retire(target);
+        return true;
+    }
+
+    private void retire(final GateTarget target) {
+        stopAdmission(target);
+        target.pool().close();
+    }
+
+    private void stopAdmission(final GateTarget target) {
+        final List<GateCall> refused =
+                mAdmissionLock.get(
+                        () -> target.admission().stop().stream().map(this::unqueue).toList());
+        refused.forEach(call -> call.refuse(ErrorCode.LEAVING));
+    }
+
+    /**
+     * Returns the target as other nodes see it.
+     *
+     * @return its record, or nothing without a target
+     */
+    public Optional<TargetRecord> record() {
+        final GateTarget target = mTarget;
+        if (target == null) {
+            return Optional.empty();
+        }
+        final TargetAnnouncement announcement = target.announcement();
+        return Optional.of(
+                new TargetRecord(
+                        announcement.service(),
+                        announcement.incarnation(),
+                        announcement.slots(),
+                        !announcement.draining() && !mLeaving));
+    }
+
+    /**
+     * Returns the load of the target.
+     *
+     * @return {@link TargetLoad#ABSENT} without a target
+     */
+    public TargetLoad load() {
+        final GateTarget target = mTarget;
+        return target == null ? TargetLoad.ABSENT : mAdmissionLock.get(target.admission()::load);
+    }
+
+    // -- calls
+
+    @Override
+    public BodySink open(final CallHead head, final AnswerSink sink) {
+        final GateCall call = new GateCall(this, mTransport.currentOrAnyLoop(), head, sink);
+        call.start();
+        return call;
+    }
+
+    /**
+     * Returns what became of a call; one that has not started never will.
+     *
+     * @param callId the call
+     * @return its phase
+     */
+    public CallPhase settleOutcome(final String callId) {
+        return mOutcomeLock.get(() -> mCalls.settle(callId, System.nanoTime()));
+    }
+
+    boolean reserve(final String callId) {
+        return mOutcomeLock.get(() -> mCalls.reserve(callId, System.nanoTime()));
+    }
+
+    boolean markStarted(final String callId) {
+        return mOutcomeLock.get(() -> mCalls.start(callId, System.nanoTime()));
+    }
+
+    void markFinished(final String callId) {
+        mOutcomeLock.run(() -> mCalls.finish(callId, System.nanoTime()));
+    }
+
+    void markRefused(final String callId) {
+        mOutcomeLock.run(() -> mCalls.refuse(callId, System.nanoTime()));
+    }
+
+    Optional<GateTarget> targetFor(final String service) {
+        final GateTarget target = mTarget;
+        return target != null && target.announcement().service().equals(service)
+                ? Optional.of(target)
+                : Optional.empty();
+    }
+
+    // -- admission
+
+    AdmissionDecision offer(final GateCall call, final GateTarget target) {
+        if (!mCatalogue.get().isInService(mSettings.host(), mSettings.dataCentre())) {
+            return new AdmissionDecision.Refused(ErrorCode.LEAVING);
+        }
+        final Optional<ServiceEntry> entry = mCatalogue.get().service(call.head().service());
+        final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
+        final ServiceClass rank =
+                entry.map(ServiceEntry::serviceClass).orElse(ServiceClass.STANDARD);
+        final long now = System.nanoTime();
+        final long waitMillis = Math.min(limits.queueMillis(), call.head().timeoutMillis());
+        final Ticket ticket =
+                new Ticket(
+                        call.head().callId(),
+                        rank.ordinal(),
+                        now + TimeUnit.MILLISECONDS.toNanos(waitMillis));
+        return mAdmissionLock.get(
+                () -> {
+                    final AdmissionDecision decision = target.admission().offer(ticket, now);
+                    if (decision instanceof AdmissionDecision.Queued) {
+                        mWaiting.put(ticket.callId(), call);
+                        call.eventLoop()
+                                .schedule(
+                                        () -> settle(target),
+                                        waitMillis + 1,
+                                        TimeUnit.MILLISECONDS);
+                    }
+                    return decision;
+                });
+    }
+
+    void release(
+            final GateCall call,
+            final GateTarget target,
+            final boolean healthy,
+            final long serviceNanos) {
+        apply(
+                target,
+                admission ->
+                        admission.release(
+                                call.head().callId(), healthy, serviceNanos, System.nanoTime()),
+                call);
+    }
+
+    private void settle(final GateTarget target) {
+        apply(target, admission -> admission.settle(System.nanoTime()), null);
+    }
+
+    private void apply(
+            final GateTarget target,
+            final java.util.function.Function<GateAdmission, Settled> change,
+            final GateCall released) {
+        final Map<GateCall, Boolean> changed = new HashMap<>();
+        mAdmissionLock.run(
+                () -> {
+                    if (released != null) {
+                        mWaiting.remove(released.head().callId());
+                    }
+                    final Settled settled = change.apply(target.admission());
+                    settled.admitted().forEach(ticket -> changed.put(unqueue(ticket), true));
+                    settled.expired().forEach(ticket -> changed.put(unqueue(ticket), false));
+                });
+        changed.forEach(
+                (call, admitted) -> {
+                    if (admitted) {
+                        call.onSlot();
+                    } else {
+                        call.refuse(ErrorCode.QUEUE_TIMEOUT);
+                    }
+                });
+    }
+
+    private GateCall unqueue(final Ticket ticket) {
+        return mWaiting.remove(ticket.callId());
+    }
+
+    // -- leaving
+
+    /** Admits no new call from now on; calls in service go on. */
+    public void leave() {
+        mLeaving = true;
+        final GateTarget target = mTarget;
+        if (target != null) {
+            stopAdmission(target);
+        }
+    }
+
+    /**
+     * Returns whether the gate admits nothing because the node leaves.
+     *
+     * @return true after {@link #leave}
+     */
+    public boolean isLeaving() {
+        return mLeaving;
+    }
+
+    @Override
+    public void close() {
+        withdrawTarget();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -0,0 +1,386 @@
+package io.bilberrylane.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.http.Headers;
+import io.bilberrylane.http.TargetConnection;
+import io.bilberrylane.http.TargetListener;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.peer.AnswerHead;
+import io.bilberrylane.peer.AnswerSink;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.CallOpener;
+import io.bilberrylane.peer.HeaderField;
+import io.bilberrylane.peer.Refusal;
+import io.bilberrylane.policy.AdmissionDecision;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One call at the gate, from its reservation to its end. All state belongs to one event loop; every
+ * event from elsewhere is moved there.
+ */
+final class GateCall implements BodySink, TargetListener {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** An idle connection unused for longer is not trusted with a call that must run once. */
+    private static final long TRUSTED_IDLE_MILLIS = 500;
+
+    private enum State {
+        WAITING,
+        CONNECTING,
+        STARTED,
+        OVER
+    }
+
+    private final Gate mGate;
+    private final EventLoop mLoop;
+    private final CallHead mHead;
+    private final AnswerSink mSink;
+    private final long mDeadlineNanos;
+    private final Deque<ByteBuf> mEarlyBody = new ArrayDeque<>();
+    private State mState = State.WAITING;
+    private GateTarget mTarget;
+    private TargetConnection mConnection;
+    private ScheduledFuture<?> mDeadline;
+    private long mStartedNanos;
+    private long mAnswerCreditBytes = CallOpener.INITIAL_CREDIT_BYTES;
+    private boolean mReading = true;
+    private boolean mBodyEnded;
+    private boolean mCallerGone;
+    private int mStatus;
+
+    GateCall(final Gate gate, final EventLoop loop, final CallHead head, final AnswerSink sink) {
+        mGate = gate;
+        mLoop = loop;
+        mHead = head;
+        mSink = sink;
+        mBodyEnded = !head.hasBody();
+        mDeadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis());
+    }
+
+    CallHead head() {
+        return mHead;
+    }
+
+    EventLoop eventLoop() {
+        return mLoop;
+    }
+
+    // -- admission
+
+    void start() {
+        final Optional<GateTarget> target = mGate.targetFor(mHead.service());
+        if (!mGate.reserve(mHead.callId())) {
+            mState = State.OVER;
+            mSink.onRefused(Refusal.of(ErrorCode.CANCELLED), mGate.load());
+            return;
+        }
+        if (target.isEmpty()) {
+            refuseNow(ErrorCode.NO_TARGET);
+            return;
+        }
+        mTarget = target.get();
+        switch (mGate.offer(this, mTarget)) {
+            case AdmissionDecision.Admitted admitted -> onLoop(this::connect);
+            case AdmissionDecision.Queued queued -> {}
+            case AdmissionDecision.Refused refused -> refuseNow(refused.code());
+        }
+    }
+
+    /** The call left the queue and holds a slot. */
+    void onSlot() {
+        onLoop(this::connect);
+    }
+
+    /** The call left the queue without a slot. */
+    void refuse(final ErrorCode code) {
+        onLoop(() -> refuseNow(code));
+    }
+
+    private void refuseNow(final ErrorCode code) {
+        if (mState == State.OVER) {
+            return;
+        }
+        over();
+        mGate.markRefused(mHead.callId());
+        if (!mCallerGone) {
+            mSink.onRefused(Refusal.of(code), mGate.load());
+        }
+    }
+
+    // -- start
+
+    private void connect() {
+        if (mState != State.WAITING) {
+            giveSlotBack(true, -1);
+            return;
+        }
+        if (mCallerGone || System.nanoTime() - mDeadlineNanos >= 0) {
+            giveSlotBack(true, -1);
+            refuseNow(mCallerGone ? ErrorCode.CANCELLED : ErrorCode.DEADLINE_EXCEEDED);
+            return;
+        }
+        mState = State.CONNECTING;
+        final long trusted =
+                mHead.idempotent()
+                        ? Long.MAX_VALUE
+                        : TimeUnit.MILLISECONDS.toNanos(TRUSTED_IDLE_MILLIS);
+        mTarget.pool()
+                .acquire(
+                        mLoop,
+                        trusted,
+                        connection -> onLoop(() -> run(connection)),
+                        cause -> onLoop(() -> unreachable(cause)));
+    }
+
+    private void unreachable(final Throwable cause) {
+        LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("target unreachable: %s", cause);
+        giveSlotBack(false, 0);
+        refuseNow(ErrorCode.TARGET_UNREACHABLE);
+    }
+
+    private void run(final TargetConnection connection) {
+        final boolean late = System.nanoTime() - mDeadlineNanos >= 0;
+        if (mCallerGone || late || !mGate.markStarted(mHead.callId())) {
+            connection.abort();
+            giveSlotBack(true, -1);
+            refuseNow(late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.CANCELLED);
+            return;
+        }
+        mState = State.STARTED;
+        mConnection = connection;
+        mStartedNanos = System.nanoTime();
+        mDeadline =
+                mLoop.schedule(
+                        this::onDeadline, mDeadlineNanos - mStartedNanos, TimeUnit.NANOSECONDS);
+        connection.send(request(), !mHead.hasBody(), this);
+        if (mHead.hasBody()) {
+            mSink.onAdmitted(mGate.load());
+        }
+        mEarlyBody.forEach(connection::sendBody);
+        mEarlyBody.clear();
+        if (mHead.hasBody() && mBodyEnded) {
+            connection.endBody();
+        }
+    }
+
+    private HttpRequest request() {
+        final HttpRequest request =
+                new DefaultHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.valueOf(mHead.method()), mHead.uri());
+        for (final HeaderField field : mHead.headers()) {
+            request.headers().add(field.name(), field.value());
+        }
+        if (!request.headers().contains(HttpHeaderNames.HOST)) {
+            request.headers().set(HttpHeaderNames.HOST, mHead.service());
+        }
+        if (mHead.bodyBytes() < 0) {
+            request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+            HttpUtil.setTransferEncodingChunked(request, true);
+        }
+        final long remainingNanos = Math.max(0, mDeadlineNanos - System.nanoTime());
+        request.headers()
+                .set(Headers.TIMEOUT_MILLIS, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+        request.headers().set(Headers.CALL_ID, mHead.callId());
+        return request;
+    }
+
+    // -- body
+
+    @Override
+    public void data(final ByteBuf bytes) {
+        onLoop(
+                () -> {
+                    switch (mState) {
+                        case STARTED -> mConnection.sendBody(bytes);
+                        case WAITING, CONNECTING -> mEarlyBody.add(bytes);
+                        case OVER -> bytes.release();
+                    }
+                });
+    }
+
+    @Override
+    public void end() {
+        onLoop(
+                () -> {
+                    mBodyEnded = true;
+                    if (mState == State.STARTED) {
+                        mConnection.endBody();
+                    }
+                });
+    }
+
+    @Override
+    public void credit(final int bytes) {
+        onLoop(
+                () -> {
+                    mAnswerCreditBytes += bytes;
+                    readAnswer();
+                });
+    }
+
+    @Override
+    public void cancel() {
+        onLoop(this::onCallerGone);
+    }
+
+    private void onCallerGone() {
+        mCallerGone = true;
+        switch (mState) {
+            case WAITING -> {
+                giveSlotBack(true, -1);
+                refuseNow(ErrorCode.CANCELLED);
+            }
+            case STARTED -> {
+                if (mHead.idempotent() || !mBodyEnded) {
+                    stop(true);
+                } else {
+                    mAnswerCreditBytes = Long.MAX_VALUE / 2;
+                    readAnswer();
+                }
+            }
+            case CONNECTING, OVER -> {}
+        }
+    }
+
+    // -- answer
+
+    @Override
+    public void onResponse(final HttpResponse response) {
+        onLoop(
+                () -> {
+                    if (mState == State.STARTED) {
+                        onAnswerHead(response);
+                    }
+                });
+    }
+
+    private void onAnswerHead(final HttpResponse response) {
+        final String echoed = response.headers().get(Headers.CALL_ID);
+        if (echoed != null && !echoed.equals(mHead.callId())) {
+            LOGGER.atWarning().log(
+                    "target answered call %s on the connection of call %s", echoed, mHead.callId());
+            stop(false);
+            mSink.onFailed(ErrorCode.TARGET_FAILED, CallPhase.STARTED);
+            return;
+        }
+        mStatus = response.status().code();
+        if (!mCallerGone) {
+            mSink.onHead(new AnswerHead(mStatus, Headers.endToEnd(response.headers())));
+        }
+    }
+
+    @Override
+    public void onContent(final ByteBuf bytes) {
+        onLoop(
+                () -> {
+                    if (mState != State.STARTED || mCallerGone) {
+                        bytes.release();
+                        mReading = false;
+                        readAnswer();
+                        return;
+                    }
+                    mAnswerCreditBytes -= bytes.readableBytes();
+                    mReading = false;
+                    mSink.onData(bytes);
+                    readAnswer();
+                });
+    }
+
+    private void readAnswer() {
+        if (mState == State.STARTED && !mReading && mAnswerCreditBytes > 0) {
+            mReading = true;
+            mConnection.read();
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        onLoop(
+                () -> {
+                    if (mState != State.STARTED) {
+                        return;
+                    }
+                    over();
+                    mGate.markFinished(mHead.callId());
+                    giveSlotBack(mStatus < 500, System.nanoTime() - mStartedNanos);
+                    if (!mCallerGone) {
+                        mSink.onEnd(mGate.load());
+                    }
+                });
+    }
+
+    @Override
+    public void onBroken(final Throwable cause) {
+        onLoop(
+                () -> {
+                    if (mState != State.STARTED) {
+                        return;
+                    }
+                    over();
+                    giveSlotBack(false, System.nanoTime() - mStartedNanos);
+                    if (!mCallerGone) {
+                        mSink.onFailed(ErrorCode.TARGET_FAILED, CallPhase.STARTED);
+                    }
+                });
+    }
+
+    @Override
+    public void onWritten(final int bytes) {
+        if (!mCallerGone) {
+            mSink.onCredit(bytes);
+        }
+    }
+
+    private void onDeadline() {
+        if (mState == State.STARTED) {
+            stop(false);
+            if (!mCallerGone) {
+                mSink.onFailed(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
+            }
+        }
+    }
+
+    // -- end
+
+    private void stop(final boolean healthy) {
+        over();
+        mConnection.abort();
+        giveSlotBack(healthy, healthy ? -1 : System.nanoTime() - mStartedNanos);
+    }
+
+    private void over() {
+        mState = State.OVER;
+        if (mDeadline != null) {
+            mDeadline.cancel(false);
+        }
+        mEarlyBody.forEach(ByteBuf::release);
+        mEarlyBody.clear();
+    }
+
+    private void giveSlotBack(final boolean healthy, final long serviceNanos) {
+        mGate.release(this, mTarget, healthy, serviceNanos);
+    }
+
+    private void onLoop(final Runnable action) {
+        if (mLoop.inEventLoop()) {
+            action.run();
+        } else {
+            mLoop.execute(action);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -0,0 +1,280 @@
+package io.bilberrylane.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.ResourceCloser;
+import io.bilberrylane.http.HttpServer;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.peer.PeerLinks;
+import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.peer.PeerServer;
+import io.bilberrylane.platform.PlatformClient;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** The daemon beside a target. */
+public final class Node implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
+    private static final long LEASE_CHECK_MILLIS = 200;
+    private static final long CALLER_MOVE_MILLIS = 1_500;
+    private static final long DRAIN_POLL_MILLIS = 20;
+
+    private final ResourceCloser mCloser = ResourceCloser.empty();
+    private final NodeSettings mSettings;
+    private final Identity mIdentity;
+    private final Transport mTransport;
+    private final PlatformClient mPlatform;
+    private final NodeMetrics mMetrics = new NodeMetrics();
+    private Gate mGate;
+    private PeerLinks mLinks;
+    private ConfigurationService mConfiguration;
+    private MembershipService mMembership;
+    private SeedService mSeeds;
+    private ConfigurationWatcher mWatcher;
+    private Router mRouter;
+    private PeerServer mPeerServer;
+    private HttpServer mCallerServer;
+    private HttpServer mTargetServer;
+    private HttpServer mOperatorServer;
+
+    private Node(final NodeSettings settings) {
+        mSettings = settings;
+        mIdentity =
+                new Identity(settings.host(), settings.dataCentre(), System.currentTimeMillis());
+        mTransport = mCloser.add(Transport.of(settings.workers()));
+        mPlatform = PlatformClient.of(mTransport, settings.platform(), PLATFORM_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Returns a running node.
+     *
+     * @param settings its settings
+     * @return a node that serves
+     */
+    public static Node start(final NodeSettings settings) {
+        final Node node = new Node(settings);
+        try {
+            node.open();
+        } catch (RuntimeException e) {
+            node.close();
+            throw e;
+        }
+        return node;
+    }
+
+    private void open() {
+        mLinks = mCloser.add(PeerLinks.of(mTransport, mIdentity));
+        mConfiguration = new ConfigurationService(mLinks, this::onRevision);
+        mGate = mCloser.add(Gate.of(mTransport, mSettings, mConfiguration::catalogue));
+        mPeerServer =
+                mCloser.add(
+                        PeerServer.bind(
+                                mTransport,
+                                mSettings.peerAddress(),
+                                mIdentity,
+                                mGate,
+                                this::answerPeer));
+        mMembership =
+                mCloser.add(MembershipService.start(mTransport, mIdentity, mPeerServer.address()));
+        mMembership.onVersion(mConfiguration::heard);
+        mRouter = new Router(mIdentity, mConfiguration, mMembership, mLinks, mGate);
+        openHttp();
+        mSeeds =
+                new SeedService(
+                        mTransport,
+                        mIdentity,
+                        mPeerServer.address(),
+                        mPlatform,
+                        mMembership,
+                        mLinks);
+        mSeeds.start();
+        mWatcher =
+                new ConfigurationWatcher(
+                        mTransport, mIdentity, mPlatform, mMembership, mConfiguration);
+        mWatcher.start();
+        mTransport
+                .group()
+                .scheduleAtFixedRate(
+                        this::checkLease,
+                        LEASE_CHECK_MILLIS,
+                        LEASE_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        registerGauges();
+        logAddresses();
+    }
+
+    private void openHttp() {
+        mCallerServer =
+                mCloser.add(
+                        HttpServer.bind(
+                                mTransport,
+                                mSettings.callerAddress(),
+                                mConfiguration::catalogue,
+                                mRouter,
+                                Optional.empty(),
+                                "",
+                                mMetrics));
+        mTargetServer =
+                mCloser.add(
+                        HttpServer.bind(
+                                mTransport,
+                                mSettings.targetAddress(),
+                                mConfiguration::catalogue,
+                                mRouter,
+                                Optional.of(new TargetEndpoint(mGate, mMembership)),
+                                TargetEndpoint.PREFIX,
+                                mMetrics));
+        mOperatorServer =
+                mCloser.add(
+                        HttpServer.bindLocal(
+                                mTransport,
+                                mSettings.operatorAddress(),
+                                new OperatorEndpoint(
+                                        mIdentity,
+                                        mConfiguration,
+                                        mMembership,
+                                        mGate,
+                                        mMetrics,
+                                        this::isReady)));
+    }
+
+    private void registerGauges() {
+        mMetrics.gauge(
+                "bilberrylane.configuration.revision",
+                "Revision of the configuration in force",
+                mConfiguration::revision);
+        mMetrics.gauge(
+                "bilberrylane.gate.in.flight",
+                "Requests in service at the target",
+                () -> mGate.load().inFlight());
+        mMetrics.gauge(
+                "bilberrylane.gate.allowance",
+                "Requests that may be in service at the target",
+                () -> mGate.load().allowance());
+        mMetrics.gauge(
+                "bilberrylane.platform.reads",
+                "Reads of the platform since the start",
+                () -> mPlatform.counters().reads());
+        mMetrics.gauge(
+                "bilberrylane.platform.writes",
+                "Writes to the platform since the start",
+                () -> mPlatform.counters().writes());
+        mMetrics.gauge(
+                "bilberrylane.membership.datagram.bytes",
+                "Bytes of membership datagrams sent and received since the start",
+                mMembership::datagramBytes);
+    }
+
+    private void logAddresses() {
+        LOGGER.atInfo().log(
+                "node %s ready: callers %s, peers %s, target %s, operators %s",
+                mIdentity.host(),
+                Addresses.format(mCallerServer.address()),
+                Addresses.format(mPeerServer.address()),
+                Addresses.format(mTargetServer.address()),
+                Addresses.format(mOperatorServer.address()));
+    }
+
+    // -- events
+
+    private void onRevision(final long revision) {
+        mMembership.tellVersion(revision);
+    }
+
+    private void checkLease() {
+        if (mGate.expireTarget(System.nanoTime())) {
+            mMembership.tellTarget(Optional.empty());
+        }
+    }
+
+    private PeerMessage.Reply answerPeer(final PeerMessage.Question question) {
+        return switch (question) {
+            case PeerMessage.Probe q -> new PeerMessage.ProbeReply(q.questionId(), mGate.load());
+            case PeerMessage.OutcomeQuery q ->
+                    new PeerMessage.OutcomeReply(q.questionId(), mGate.settleOutcome(q.callId()));
+            case PeerMessage.ConfigurationPull q -> mConfiguration.answer(q);
+            case PeerMessage.SyncRequest q -> {
+                mMembership.merge(q.members());
+                yield new PeerMessage.SyncReply(q.questionId(), mMembership.members());
+            }
+        };
+    }
+
+    private boolean isReady() {
+        return mConfiguration.revision() > 0 && !mGate.isLeaving();
+    }
+
+    // -- addresses
+
+    /**
+     * Returns where callers connect.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress callerAddress() {
+        return mCallerServer.address();
+    }
+
+    /**
+     * Returns where operators connect.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress operatorAddress() {
+        return mOperatorServer.address();
+    }
+
+    /**
+     * Returns where the target announces itself.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress targetAddress() {
+        return mTargetServer.address();
+    }
+
+    // -- leaving
+
+    /** Leaves the fleet without cutting a request, then closes. Blocks. */
+    public void leave() {
+        LOGGER.atInfo().log("node %s leaves", mIdentity.host());
+        final long deadlineNanos =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mSettings.drainMillis());
+        mGate.leave();
+        mSeeds.stop();
+        mMembership.tellTarget(mGate.record());
+        mCallerServer.leave();
+        mTargetServer.leave();
+        sleep(CALLER_MOVE_MILLIS);
+        while (isBusy() && System.nanoTime() - deadlineNanos < 0) {
+            sleep(DRAIN_POLL_MILLIS);
+        }
+        if (isBusy()) {
+            LOGGER.atWarning().log(
+                    "calls still in progress after %d ms are cut", mSettings.drainMillis());
+        }
+        mWatcher.stop();
+        mMembership.tellLeave();
+        sleep(CALLER_MOVE_MILLIS / 2);
+        close();
+    }
+
+    private boolean isBusy() {
+        return mGate.load().inFlight() > 0 || mRouter.callsInProgress() > 0;
+    }
+
+    private static void sleep(final long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        mCloser.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/NodeMetrics.java
@@ -0,0 +1,76 @@
+package io.bilberrylane.node;
+
+import io.bilberrylane.http.IngressMetrics;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+/** Counts what callers of one node experience and what the node costs. */
+final class NodeMetrics implements IngressMetrics {
+    private static final int MAX_SERVICES = 1_024;
+
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<String, Timer> mTimers = new ConcurrentHashMap<>();
+    private final Map<String, Counter> mRefusals = new ConcurrentHashMap<>();
+
+    @Override
+    public void answered(final String service, final int status, final long durationNanos) {
+        if (service.isEmpty() || mTimers.size() > MAX_SERVICES) {
+            return;
+        }
+        final String statusClass = status / 100 + "xx";
+        mTimers.computeIfAbsent(service + " " + statusClass, key -> timer(service, statusClass))
+                .record(Duration.ofNanos(durationNanos));
+    }
+
+    private Timer timer(final String service, final String statusClass) {
+        return Timer.builder("bilberrylane.calls")
+                .description("Calls that a target answered, by the time since their head")
+                .tag("service", service)
+                .tag("status", statusClass)
+                .serviceLevelObjectives(
+                        Duration.ofMillis(1),
+                        Duration.ofMillis(2),
+                        Duration.ofMillis(5),
+                        Duration.ofMillis(10),
+                        Duration.ofMillis(25),
+                        Duration.ofMillis(50),
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(250),
+                        Duration.ofMillis(1_000),
+                        Duration.ofMillis(5_000))
+                .register(mRegistry);
+    }
+
+    @Override
+    public void refused(final String service, final String code, final boolean notRun) {
+        final String outcome = notRun ? "not-run" : "unknown";
+        mRefusals
+                .computeIfAbsent(
+                        service + " " + code + " " + outcome,
+                        key ->
+                                Counter.builder("bilberrylane.refusals")
+                                        .description("Calls refused or failed by the node")
+                                        .tag("service", service)
+                                        .tag("code", code)
+                                        .tag("outcome", outcome)
+                                        .register(mRegistry))
+                .increment();
+    }
+
+    void gauge(final String name, final String description, final Supplier<Number> value) {
+        io.micrometer.core.instrument.Gauge.builder(name, value)
+                .description(description)
+                .register(mRegistry);
+    }
+
+    String scrape() {
+        return mRegistry.scrape();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
@@ -0,0 +1,96 @@
+package io.bilberrylane.node;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberrylane.http.LocalAnswer;
+import io.bilberrylane.http.LocalEndpoint;
+import io.bilberrylane.membership.Member;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.policy.TargetLoad;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/** Tells operators a node's health, metrics and state. */
+final class OperatorEndpoint implements LocalEndpoint {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Identity mIdentity;
+    private final ConfigurationService mConfiguration;
+    private final MembershipService mMembership;
+    private final Gate mGate;
+    private final NodeMetrics mMetrics;
+    private final BooleanSupplier mReady;
+
+    OperatorEndpoint(
+            final Identity identity,
+            final ConfigurationService configuration,
+            final MembershipService membership,
+            final Gate gate,
+            final NodeMetrics metrics,
+            final BooleanSupplier ready) {
+        mIdentity = identity;
+        mConfiguration = configuration;
+        mMembership = membership;
+        mGate = gate;
+        mMetrics = metrics;
+        mReady = ready;
+    }
+
+    @Override
+    public LocalAnswer answer(final String method, final String path, final String body) {
+        if (!method.equals("GET") && !method.equals("HEAD")) {
+            return LocalAnswer.json(405, "{\"error\":\"method-not-allowed\"}");
+        }
+        return switch (path) {
+            case "/healthz" -> LocalAnswer.text(200, "ok\n");
+            case "/readyz" ->
+                    mReady.getAsBoolean()
+                            ? LocalAnswer.text(200, "ready\n")
+                            : LocalAnswer.text(503, "not ready\n");
+            case "/metrics" -> LocalAnswer.text(200, mMetrics.scrape());
+            case "/status" -> LocalAnswer.json(200, status().toPrettyString());
+            default -> LocalAnswer.json(404, "{\"error\":\"not-found\"}");
+        };
+    }
+
+    private ObjectNode status() {
+        final ObjectNode root = MAPPER.createObjectNode();
+        root.put("host", mIdentity.host());
+        root.put("dataCentre", mIdentity.dataCentre());
+        root.put("incarnation", mIdentity.incarnation());
+        root.put("ready", mReady.getAsBoolean());
+        root.put("leaving", mGate.isLeaving());
+        root.put("configurationRevision", mConfiguration.revision());
+        root.put("selfDoubt", mMembership.selfDoubt());
+        writeLoad(root.putObject("load"), mGate.load());
+        final ArrayNode members = root.putArray("members");
+        final List<Member> sorted =
+                mMembership.members().stream().sorted(Comparator.comparing(Member::host)).toList();
+        sorted.forEach(member -> writeMember(members.addObject(), member));
+        return root;
+    }
+
+    private static void writeLoad(final ObjectNode node, final TargetLoad load) {
+        node.put("inFlight", load.inFlight());
+        node.put("queued", load.queued());
+        node.put("allowance", load.allowance());
+        node.put("serviceMicros", load.serviceMicros());
+        node.put("accepting", load.accepting());
+    }
+
+    private static void writeMember(final ObjectNode node, final Member member) {
+        node.put("host", member.host());
+        node.put("dataCentre", member.dataCentre());
+        node.put("peerAddress", member.peerAddress());
+        node.put("status", member.status().name());
+        member.target()
+                .ifPresent(
+                        target -> {
+                            node.put("service", target.service());
+                            node.put("slots", target.slots());
+                            node.put("accepting", target.accepting());
+                        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -0,0 +1,172 @@
+package io.bilberrylane.node;
+
+import io.bilberrylane.base.LockRank;
+import io.bilberrylane.base.RankedLock;
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.http.CallRouter;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.peer.AnswerSink;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.CallOpener;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.peer.PeerLinks;
+import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.policy.Candidate;
+import io.bilberrylane.policy.LoadTable;
+import io.bilberrylane.policy.TargetLoad;
+import io.bilberrylane.policy.TargetSelector;
+import io.netty.util.concurrent.EventExecutor;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+/** Chooses targets for the calls of one ingress and opens the calls at their gates. */
+public final class Router implements CallRouter {
+    private static final long OUTCOME_TIMEOUT_MILLIS = 1_000;
+
+    private final Identity mIdentity;
+    private final ConfigurationService mConfiguration;
+    private final MembershipService mMembership;
+    private final PeerLinks mLinks;
+    private final Gate mGate;
+    private final RankedLock mLock = RankedLock.of(LockRank.ROUTING);
+    private final LoadTable mLoads = LoadTable.empty();
+    private final TargetSelector mSelector;
+    private final AtomicLong mNextCall = new AtomicLong();
+    private final AtomicInteger mCallsInProgress = new AtomicInteger();
+    private final String mCallPrefix;
+
+    /**
+     * Creates a router.
+     *
+     * @param identity who this process is
+     * @param configuration the catalogue in force
+     * @param membership which targets there are
+     * @param links the way to other gates
+     * @param gate the gate of this node
+     */
+    public Router(
+            final Identity identity,
+            final ConfigurationService configuration,
+            final MembershipService membership,
+            final PeerLinks links,
+            final Gate gate) {
+        mIdentity = identity;
+        mConfiguration = configuration;
+        mMembership = membership;
+        mLinks = links;
+        mGate = gate;
+        mSelector =
+                TargetSelector.of(
+                        identity.dataCentre(), mLoads, new Random(identity.incarnation() + 2));
+        mCallPrefix = identity.host() + "-" + Long.toString(identity.incarnation(), 36) + "-";
+    }
+
+    @Override
+    public BodySink route(
+            final ServiceEntry entry,
+            final CallHead head,
+            final EventExecutor executor,
+            final AnswerSink sink) {
+        final RoutedCall call = new RoutedCall(this, head, executor, sink);
+        call.start();
+        return call;
+    }
+
+    // -- choice
+
+    Optional<TargetRef> choose(final String service, final Collection<String> excluded) {
+        final Catalogue catalogue = mConfiguration.catalogue();
+        final List<TargetRef> targets = mMembership.targets(service);
+        final List<Candidate> candidates = new ArrayList<>(targets.size());
+        for (final TargetRef target : targets) {
+            final Candidate candidate = target.candidate();
+            if (catalogue.isInService(candidate.host(), candidate.dataCentre())) {
+                candidates.add(candidate);
+            }
+        }
+        final Optional<Candidate> chosen =
+                mLock.get(
+                        () -> {
+                            final Optional<Candidate> choice =
+                                    mSelector.choose(candidates, excluded);
+                            choice.ifPresent(candidate -> mLoads.sent(candidate.host()));
+                            return choice;
+                        });
+        return chosen.flatMap(
+                candidate ->
+                        targets.stream()
+                                .filter(target -> target.candidate().equals(candidate))
+                                .findFirst());
+    }
+
+    CallOpener opener(final TargetRef target) {
+        return target.candidate().host().equals(mIdentity.host())
+                ? mGate
+                : mLinks.openerTo(target.peerAddress());
+    }
+
+    String nextCallId() {
+        return mCallPrefix + Long.toString(mNextCall.incrementAndGet(), 36);
+    }
+
+    // -- calls in progress
+
+    void callStarted() {
+        mCallsInProgress.incrementAndGet();
+    }
+
+    void callEnded() {
+        mCallsInProgress.decrementAndGet();
+    }
+
+    /**
+     * Returns how many calls of callers are in progress.
+     *
+     * @return a count
+     */
+    public int callsInProgress() {
+        return mCallsInProgress.get();
+    }
+
+    // -- feedback
+
+    void told(final TargetRef target, final TargetLoad load) {
+        mLock.run(() -> mLoads.told(target.candidate().host(), load, System.nanoTime()));
+    }
+
+    void done(final TargetRef target) {
+        mLock.run(() -> mLoads.done(target.candidate().host()));
+    }
+
+    // -- doubt
+
+    /** Asks a gate what became of a call; the call can no longer start there afterwards. */
+    void settleOutcome(
+            final TargetRef target,
+            final String callId,
+            final Consumer<Optional<CallPhase>> consumer) {
+        if (target.candidate().host().equals(mIdentity.host())) {
+            consumer.accept(Optional.of(mGate.settleOutcome(callId)));
+            return;
+        }
+        mLinks.ask(
+                target.peerAddress(),
+                id -> new PeerMessage.OutcomeQuery(id, callId),
+                OUTCOME_TIMEOUT_MILLIS,
+                reply ->
+                        consumer.accept(
+                                reply.flatMap(
+                                        answer ->
+                                                answer instanceof PeerMessage.OutcomeReply outcome
+                                                        ? Optional.of(outcome.phase())
+                                                        : Optional.empty())));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -0,0 +1,205 @@
+package io.bilberrylane.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.membership.Member;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.peer.PeerLinks;
+import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.platform.ObjectStore;
+import io.bilberrylane.platform.StoredObject;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Finds other nodes through seed objects in the platform, one for each data centre, and compares
+ * views with one of them now and then.
+ */
+final class SeedService {
+    /** The kind of seed objects. */
+    static final String KIND = "seeds";
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int SEEDS_PER_DATA_CENTRE = 3;
+    private static final long ALONE_INTERVAL_MILLIS = 500;
+    private static final long SYNC_INTERVAL_MILLIS = 10_000;
+    private static final long SYNC_TIMEOUT_MILLIS = 2_000;
+    private static final int LISTS_PER_SYNC = 6;
+
+    private record Seed(String host, String address) {}
+
+    private final Transport mTransport;
+    private final Identity mIdentity;
+    private final String mOwnAddress;
+    private final ObjectStore mStore;
+    private final MembershipService mMembership;
+    private final PeerLinks mLinks;
+    private final Random mRandom;
+    private volatile List<Seed> mKnownSeeds = List.of();
+    private volatile boolean mStopped;
+    private int mRound;
+
+    SeedService(
+            final Transport transport,
+            final Identity identity,
+            final InetSocketAddress ownAddress,
+            final ObjectStore store,
+            final MembershipService membership,
+            final PeerLinks links) {
+        mTransport = transport;
+        mIdentity = identity;
+        mOwnAddress = Addresses.format(ownAddress);
+        mStore = store;
+        mMembership = membership;
+        mLinks = links;
+        mRandom = new Random(identity.incarnation());
+    }
+
+    void start() {
+        round();
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    private void round() {
+        if (mStopped) {
+            return;
+        }
+        final boolean alone = isAlone();
+        if (alone || mRound++ % LISTS_PER_SYNC == 0) {
+            mStore.list(KIND)
+                    .whenComplete(
+                            (list, failure) -> {
+                                if (failure == null) {
+                                    onSeeds(list.items());
+                                }
+                                syncWithOne();
+                            });
+        } else {
+            syncWithOne();
+        }
+        final long base = alone ? ALONE_INTERVAL_MILLIS : SYNC_INTERVAL_MILLIS;
+        final long delay = base / 2 + mRandom.nextInt((int) base);
+        mTransport.group().schedule(this::round, delay, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isAlone() {
+        return mMembership.members().stream().filter(Member::isPresent).count() <= 1;
+    }
+
+    // -- seeds
+
+    private void onSeeds(final List<StoredObject> objects) {
+        final List<Seed> seeds = new ArrayList<>();
+        Optional<StoredObject> own = Optional.empty();
+        for (final StoredObject object : objects) {
+            if (object.name().equals(mIdentity.dataCentre())) {
+                own = Optional.of(object);
+            }
+            seeds.addAll(read(object.spec()));
+        }
+        mKnownSeeds = List.copyOf(seeds);
+        enrol(own);
+    }
+
+    private void enrol(final Optional<StoredObject> own) {
+        final List<Seed> listed = new ArrayList<>(own.map(o -> read(o.spec())).orElse(List.of()));
+        final boolean listsUs =
+                listed.stream()
+                        .anyMatch(
+                                seed ->
+                                        seed.host().equals(mIdentity.host())
+                                                && seed.address().equals(mOwnAddress));
+        listed.removeIf(this::isGone);
+        if (listsUs || listed.size() >= SEEDS_PER_DATA_CENTRE) {
+            return;
+        }
+        listed.add(new Seed(mIdentity.host(), mOwnAddress));
+        final JsonNode spec = write(listed);
+        if (own.isPresent()) {
+            log(mStore.update(KIND, mIdentity.dataCentre(), own.get().version(), spec));
+        } else {
+            log(mStore.create(KIND, mIdentity.dataCentre(), spec));
+        }
+    }
+
+    private boolean isGone(final Seed seed) {
+        if (seed.host().equals(mIdentity.host())) {
+            return true;
+        }
+        return mMembership
+                .member(seed.host())
+                .map(member -> !member.isPresent())
+                .orElse(!isAlone());
+    }
+
+    private void log(final java.util.concurrent.CompletableFuture<StoredObject> write) {
+        write.whenComplete(
+                (object, failure) -> {
+                    if (failure instanceof BilberrylaneException e
+                            && e.code() != ErrorCode.PLATFORM_CONFLICT) {
+                        LOGGER.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
+                                "seed object not written: %s", failure.getMessage());
+                    }
+                });
+    }
+
+    // -- comparison of views
+
+    private void syncWithOne() {
+        final List<String> addresses = new ArrayList<>();
+        mKnownSeeds.forEach(seed -> addresses.add(seed.address()));
+        mMembership.members().forEach(member -> addresses.add(member.peerAddress()));
+        addresses.removeIf(mOwnAddress::equals);
+        if (addresses.isEmpty() || mStopped) {
+            return;
+        }
+        Collections.shuffle(addresses, mRandom);
+        sync(Addresses.parse(addresses.get(0)));
+    }
+
+    private void sync(final InetSocketAddress address) {
+        mLinks.ask(
+                address,
+                id -> new PeerMessage.SyncRequest(id, mMembership.members()),
+                SYNC_TIMEOUT_MILLIS,
+                reply -> {
+                    if (reply.isPresent() && reply.get() instanceof PeerMessage.SyncReply sync) {
+                        mMembership.merge(sync.members());
+                    }
+                });
+    }
+
+    // -- format
+
+    private static List<Seed> read(final JsonNode spec) {
+        final List<Seed> seeds = new ArrayList<>();
+        for (final JsonNode node : spec.path("nodes")) {
+            seeds.add(new Seed(node.path("host").asText(), node.path("address").asText()));
+        }
+        return seeds;
+    }
+
+    private static JsonNode write(final List<Seed> seeds) {
+        final ObjectNode root = MAPPER.createObjectNode();
+        final ArrayNode nodes = root.putArray("nodes");
+        for (final Seed seed : seeds) {
+            nodes.addObject().put("host", seed.host()).put("address", seed.address());
+        }
+        return root;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -0,0 +1,79 @@
+package io.bilberrylane.peer;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * All that a gate needs to know of a call before its body.
+ *
+ * @param callId unique for each attempt at a target
+ * @param service the catalogue entry
+ * @param method the HTTP method
+ * @param uri the request target
+ * @param headers the end-to-end header fields
+ * @param timeoutMillis time that remains until the deadline, in milliseconds
+ * @param attempt 1 for the first attempt
+ * @param idempotent whether the call may run more than once
+ * @param key the idempotency key, or empty
+ * @param bodyBytes the body's length in bytes; 0 without a body, -1 when not known
+ * @param replayOnly whether the gate may only replay a remembered answer, never run the call
+ */
+public record CallHead(
+        String callId,
+        String service,
+        String method,
+        String uri,
+        List<HeaderField> headers,
+        long timeoutMillis,
+        int attempt,
+        boolean idempotent,
+        String key,
+        long bodyBytes,
+        boolean replayOnly) {
+    /** Checks the parts and copies the headers. */
+    public CallHead {
+        Objects.requireNonNull(callId, "callId is null");
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(method, "method is null");
+        Objects.requireNonNull(uri, "uri is null");
+        Objects.requireNonNull(key, "key is null");
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Returns whether body data will follow the admission.
+     *
+     * @return true unless the length is 0
+     */
+    public boolean hasBody() {
+        return bodyBytes != 0;
+    }
+
+    /**
+     * Returns the head of another attempt.
+     *
+     * @param newCallId the identity of the attempt
+     * @param remainingMillis time that remains until the deadline, in milliseconds
+     * @param newAttempt the number of the attempt
+     * @param onlyReplay whether the gate may only replay a remembered answer
+     * @return a changed copy
+     */
+    public CallHead forAttempt(
+            final String newCallId,
+            final long remainingMillis,
+            final int newAttempt,
+            final boolean onlyReplay) {
+        return new CallHead(
+                newCallId,
+                service,
+                method,
+                uri,
+                headers,
+                remainingMillis,
+                newAttempt,
+                idempotent,
+                key,
+                bodyBytes,
+                onlyReplay);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/FieldReader.java
@@ -0,0 +1,116 @@
+package io.bilberrylane.peer;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ArrayValue;
+import org.msgpack.value.Value;
+
+/** Reads one message; fields that the reader does not ask for are skipped. */
+final class FieldReader {
+    private static final int MAX_FIELDS = 64;
+
+    private final int mType;
+    private final Map<Integer, Value> mFields;
+
+    private FieldReader(final int type, final Map<Integer, Value> fields) {
+        mType = type;
+        mFields = fields;
+    }
+
+    static FieldReader of(final byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            if (unpacker.unpackArrayHeader() != 2) {
+                throw violation("message is not an array of two", null);
+            }
+            final int type = unpacker.unpackInt();
+            final int count = unpacker.unpackMapHeader();
+            if (count > MAX_FIELDS) {
+                throw violation("message has more than " + MAX_FIELDS + " fields", null);
+            }
+            final Map<Integer, Value> fields = new HashMap<>();
+            for (int i = 0; i < count; i++) {
+                fields.put(unpacker.unpackInt(), unpacker.unpackValue());
+            }
+            return new FieldReader(type, fields);
+        } catch (IOException | MessagePackException | IllegalArgumentException e) {
+            throw violation("message is not well formed", e);
+        }
+    }
+
+    int type() {
+        return mType;
+    }
+
+    long integer(final int field) {
+        return guard(field, value -> value.asIntegerValue().toLong());
+    }
+
+    int smallInteger(final int field) {
+        return guard(field, value -> value.asIntegerValue().toInt());
+    }
+
+    String text(final int field) {
+        return guard(field, value -> value.asStringValue().asString());
+    }
+
+    boolean flag(final int field) {
+        return guard(field, value -> value.asBooleanValue().getBoolean());
+    }
+
+    byte[] binary(final int field) {
+        return guard(field, value -> value.asBinaryValue().asByteArray());
+    }
+
+    ArrayValue array(final int field) {
+        return guard(field, Value::asArrayValue);
+    }
+
+    <T> T value(final int field, final Function<Value, T> reader) {
+        return guard(field, reader);
+    }
+
+    <T> List<T> list(final int field, final Function<Value, T> reader) {
+        return guard(
+                field,
+                value -> {
+                    final List<T> values = new ArrayList<>();
+                    value.asArrayValue().forEach(item -> values.add(reader.apply(item)));
+                    return values;
+                });
+    }
+
+    <E extends Enum<E>> E constant(final int field, final E[] constants) {
+        final int index = smallInteger(field);
+        if (index < 0 || index >= constants.length) {
+            throw violation("field " + field + " is out of range", null);
+        }
+        return constants[index];
+    }
+
+    // -- errors
+
+    private <T> T guard(final int field, final Function<Value, T> reader) {
+        final Value value = mFields.get(field);
+        if (value == null) {
+            throw violation("message type " + mType + " lacks field " + field, null);
+        }
+        try {
+            return reader.apply(value);
+        } catch (MessagePackException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw violation("field " + field + " of message type " + mType + " is wrong", e);
+        }
+    }
+
+    static BilberrylaneException violation(final String message, final Throwable cause) {
+        return new BilberrylaneException(ErrorCode.PROTOCOL_VIOLATION, message, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/GossipCodec.java
@@ -0,0 +1,60 @@
+package io.bilberrylane.peer;
+
+import io.bilberrylane.membership.SwimMessage;
+
+/** Turns membership datagrams into MessagePack and back. */
+public final class GossipCodec {
+    private GossipCodec() {}
+
+    /**
+     * Returns the bytes of a datagram.
+     *
+     * @param message the datagram
+     * @return MessagePack
+     */
+    public static byte[] encode(final SwimMessage message) {
+        return switch (message) {
+            case SwimMessage.Ping m ->
+                    common(MessageType.GOSSIP_PING, 4, m).integer(3, m.sequence()).toBytes();
+            case SwimMessage.Ack m ->
+                    common(MessageType.GOSSIP_ACK, 4, m).integer(3, m.sequence()).toBytes();
+            case SwimMessage.PingRequest m ->
+                    common(MessageType.GOSSIP_PING_REQUEST, 5, m)
+                            .integer(3, m.sequence())
+                            .text(5, m.subject())
+                            .toBytes();
+        };
+    }
+
+    private static FieldWriter common(final int type, final int fields, final SwimMessage message) {
+        return FieldWriter.of(type, fields)
+                .text(1, message.from())
+                .integer(2, message.configurationVersion())
+                .list(4, message.updates(), ValueFormats::writeMember);
+    }
+
+    /**
+     * Returns the datagram that bytes hold.
+     *
+     * @param bytes MessagePack
+     * @return the datagram
+     * @throws io.bilberrylane.base.BilberrylaneException with PROTOCOL_VIOLATION when the bytes are
+     *     no datagram
+     */
+    public static SwimMessage decode(final byte[] bytes) {
+        final FieldReader fields = FieldReader.of(bytes);
+        final String from = fields.text(1);
+        final long version = fields.integer(2);
+        final long sequence = fields.integer(3);
+        final java.util.List<io.bilberrylane.membership.Member> updates =
+                fields.list(4, ValueFormats::readMember);
+        return switch (fields.type()) {
+            case MessageType.GOSSIP_PING -> new SwimMessage.Ping(from, sequence, version, updates);
+            case MessageType.GOSSIP_ACK -> new SwimMessage.Ack(from, sequence, version, updates);
+            case MessageType.GOSSIP_PING_REQUEST ->
+                    new SwimMessage.PingRequest(from, sequence, fields.text(5), version, updates);
+            default ->
+                    throw FieldReader.violation("datagram of unknown type " + fields.type(), null);
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -0,0 +1,240 @@
+package io.bilberrylane.peer;
+
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.outcome.CallPhase;
+import java.util.Objects;
+
+/** Turns peer messages into MessagePack and back. */
+public final class PeerCodec {
+    /** The longest message, in bytes. */
+    public static final int MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+
+    private PeerCodec() {}
+
+    // -- encoding
+
+    /**
+     * Returns the bytes of a message.
+     *
+     * @param message any message but {@link PeerMessage.Unknown}
+     * @return MessagePack
+     * @throws IllegalArgumentException for an unknown message
+     */
+    public static byte[] encode(final PeerMessage message) {
+        Objects.requireNonNull(message, "message is null");
+        return switch (message) {
+            case PeerMessage.Hello m ->
+                    FieldWriter.of(MessageType.HELLO, 3)
+                            .integer(1, m.protocolVersion())
+                            .text(2, m.host())
+                            .integer(3, m.incarnation())
+                            .toBytes();
+            case PeerMessage.Ping m ->
+                    FieldWriter.of(MessageType.PING, 1).integer(1, m.nonce()).toBytes();
+            case PeerMessage.Pong m ->
+                    FieldWriter.of(MessageType.PONG, 1).integer(1, m.nonce()).toBytes();
+            case PeerMessage.StreamMessage m -> encodeStream(m);
+            case PeerMessage.Question m -> encodeQuestion(m);
+            case PeerMessage.Reply m -> encodeReply(m);
+            case PeerMessage.Unknown m ->
+                    throw new IllegalArgumentException("unknown messages are never sent");
+        };
+    }
+
+    private static byte[] encodeStream(final PeerMessage.StreamMessage message) {
+        return switch (message) {
+            case PeerMessage.Open m -> encodeOpen(m.streamId(), m.head());
+            case PeerMessage.Admit m ->
+                    stream(MessageType.ADMIT, 2, m)
+                            .value(2, m.load(), ValueFormats::writeLoad)
+                            .toBytes();
+            case PeerMessage.Refuse m ->
+                    stream(MessageType.REFUSE, 5, m)
+                            .integer(2, m.refusal().code().ordinal())
+                            .integer(3, m.refusal().retryAfterMillis())
+                            .text(4, m.refusal().holder())
+                            .value(5, m.load(), ValueFormats::writeLoad)
+                            .toBytes();
+            case PeerMessage.Head m ->
+                    stream(MessageType.HEAD, 3, m)
+                            .integer(2, m.head().status())
+                            .list(3, m.head().headers(), ValueFormats::writeHeader)
+                            .toBytes();
+            case PeerMessage.Data m ->
+                    stream(MessageType.DATA, 2, m).binary(2, m.bytes()).toBytes();
+            case PeerMessage.End m ->
+                    stream(MessageType.END, 2, m)
+                            .value(2, m.load(), ValueFormats::writeLoad)
+                            .toBytes();
+            case PeerMessage.Credit m ->
+                    stream(MessageType.CREDIT, 2, m).integer(2, m.bytes()).toBytes();
+            case PeerMessage.Fail m ->
+                    stream(MessageType.FAIL, 3, m)
+                            .integer(2, m.code().ordinal())
+                            .integer(3, m.phase().ordinal())
+                            .toBytes();
+            case PeerMessage.Cancel m -> stream(MessageType.CANCEL, 1, m).toBytes();
+        };
+    }
+
+    private static byte[] encodeOpen(final int streamId, final CallHead head) {
+        return FieldWriter.of(MessageType.OPEN, 12)
+                .integer(1, streamId)
+                .text(2, head.callId())
+                .text(3, head.service())
+                .text(4, head.method())
+                .text(5, head.uri())
+                .list(6, head.headers(), ValueFormats::writeHeader)
+                .integer(7, head.timeoutMillis())
+                .integer(8, head.attempt())
+                .flag(9, head.idempotent())
+                .text(10, head.key())
+                .integer(11, head.bodyBytes())
+                .flag(12, head.replayOnly())
+                .toBytes();
+    }
+
+    private static byte[] encodeQuestion(final PeerMessage.Question message) {
+        return switch (message) {
+            case PeerMessage.Probe m -> numbered(MessageType.PROBE, 1, m.questionId()).toBytes();
+            case PeerMessage.OutcomeQuery m ->
+                    numbered(MessageType.OUTCOME_QUERY, 2, m.questionId())
+                            .text(2, m.callId())
+                            .toBytes();
+            case PeerMessage.ConfigurationPull m ->
+                    numbered(MessageType.CONFIGURATION_PULL, 2, m.questionId())
+                            .integer(2, m.knownVersion())
+                            .toBytes();
+            case PeerMessage.SyncRequest m ->
+                    numbered(MessageType.SYNC_REQUEST, 2, m.questionId())
+                            .list(2, m.members(), ValueFormats::writeMember)
+                            .toBytes();
+        };
+    }
+
+    private static byte[] encodeReply(final PeerMessage.Reply message) {
+        return switch (message) {
+            case PeerMessage.ProbeReply m ->
+                    numbered(MessageType.PROBE_REPLY, 2, m.questionId())
+                            .value(2, m.load(), ValueFormats::writeLoad)
+                            .toBytes();
+            case PeerMessage.OutcomeReply m ->
+                    numbered(MessageType.OUTCOME_REPLY, 2, m.questionId())
+                            .integer(2, m.phase().ordinal())
+                            .toBytes();
+            case PeerMessage.ConfigurationReply m ->
+                    numbered(MessageType.CONFIGURATION_REPLY, 3, m.questionId())
+                            .integer(2, m.version())
+                            .text(3, m.document())
+                            .toBytes();
+            case PeerMessage.SyncReply m ->
+                    numbered(MessageType.SYNC_REPLY, 2, m.questionId())
+                            .list(2, m.members(), ValueFormats::writeMember)
+                            .toBytes();
+        };
+    }
+
+    private static FieldWriter stream(
+            final int type, final int fields, final PeerMessage.StreamMessage message) {
+        return FieldWriter.of(type, fields).integer(1, message.streamId());
+    }
+
+    private static FieldWriter numbered(final int type, final int fields, final long questionId) {
+        return FieldWriter.of(type, fields).integer(1, questionId);
+    }
+
+    // -- decoding
+
+    /**
+     * Returns the message that bytes hold.
+     *
+     * @param bytes MessagePack
+     * @return the message; {@link PeerMessage.Unknown} for a type of a later version
+     * @throws io.bilberrylane.base.BilberrylaneException with PROTOCOL_VIOLATION when the bytes are
+     *     no message
+     */
+    public static PeerMessage decode(final byte[] bytes) {
+        final FieldReader fields = FieldReader.of(bytes);
+        return switch (fields.type()) {
+            case MessageType.HELLO ->
+                    new PeerMessage.Hello(
+                            fields.smallInteger(1), fields.text(2), fields.integer(3));
+            case MessageType.PING -> new PeerMessage.Ping(fields.integer(1));
+            case MessageType.PONG -> new PeerMessage.Pong(fields.integer(1));
+            case MessageType.OPEN ->
+                    new PeerMessage.Open(fields.smallInteger(1), decodeHead(fields));
+            case MessageType.ADMIT ->
+                    new PeerMessage.Admit(
+                            fields.smallInteger(1), fields.value(2, ValueFormats::readLoad));
+            case MessageType.REFUSE -> decodeRefuse(fields);
+            case MessageType.HEAD ->
+                    new PeerMessage.Head(
+                            fields.smallInteger(1),
+                            new AnswerHead(
+                                    fields.smallInteger(2),
+                                    fields.list(3, ValueFormats::readHeader)));
+            case MessageType.DATA -> new PeerMessage.Data(fields.smallInteger(1), fields.binary(2));
+            case MessageType.END ->
+                    new PeerMessage.End(
+                            fields.smallInteger(1), fields.value(2, ValueFormats::readLoad));
+            case MessageType.CREDIT ->
+                    new PeerMessage.Credit(fields.smallInteger(1), fields.smallInteger(2));
+            case MessageType.FAIL ->
+                    new PeerMessage.Fail(
+                            fields.smallInteger(1),
+                            fields.constant(2, ErrorCode.values()),
+                            fields.constant(3, CallPhase.values()));
+            case MessageType.CANCEL -> new PeerMessage.Cancel(fields.smallInteger(1));
+            default -> decodeQuestionOrReply(fields);
+        };
+    }
+
+    private static PeerMessage decodeQuestionOrReply(final FieldReader fields) {
+        return switch (fields.type()) {
+            case MessageType.PROBE -> new PeerMessage.Probe(fields.integer(1));
+            case MessageType.PROBE_REPLY ->
+                    new PeerMessage.ProbeReply(
+                            fields.integer(1), fields.value(2, ValueFormats::readLoad));
+            case MessageType.OUTCOME_QUERY ->
+                    new PeerMessage.OutcomeQuery(fields.integer(1), fields.text(2));
+            case MessageType.OUTCOME_REPLY ->
+                    new PeerMessage.OutcomeReply(
+                            fields.integer(1), fields.constant(2, CallPhase.values()));
+            case MessageType.CONFIGURATION_PULL ->
+                    new PeerMessage.ConfigurationPull(fields.integer(1), fields.integer(2));
+            case MessageType.CONFIGURATION_REPLY ->
+                    new PeerMessage.ConfigurationReply(
+                            fields.integer(1), fields.integer(2), fields.text(3));
+            case MessageType.SYNC_REQUEST ->
+                    new PeerMessage.SyncRequest(
+                            fields.integer(1), fields.list(2, ValueFormats::readMember));
+            case MessageType.SYNC_REPLY ->
+                    new PeerMessage.SyncReply(
+                            fields.integer(1), fields.list(2, ValueFormats::readMember));
+            default -> new PeerMessage.Unknown(fields.type());
+        };
+    }
+
+    private static PeerMessage decodeRefuse(final FieldReader fields) {
+        final Refusal refusal =
+                new Refusal(
+                        fields.constant(2, ErrorCode.values()), fields.integer(3), fields.text(4));
+        return new PeerMessage.Refuse(
+                fields.smallInteger(1), refusal, fields.value(5, ValueFormats::readLoad));
+    }
+
+    private static CallHead decodeHead(final FieldReader fields) {
+        return new CallHead(
+                fields.text(2),
+                fields.text(3),
+                fields.text(4),
+                fields.text(5),
+                fields.list(6, ValueFormats::readHeader),
+                fields.integer(7),
+                fields.smallInteger(8),
+                fields.flag(9),
+                fields.text(10),
+                fields.integer(11),
+                fields.flag(12));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/PeerLink.java
@@ -0,0 +1,251 @@
+package io.bilberrylane.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+
+/**
+ * One outbound connection to a node. All state belongs to the channel's event loop; messages that
+ * are sent before the connection is up wait for it.
+ */
+final class PeerLink extends SimpleChannelInboundHandler<PeerMessage> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long PING_INTERVAL_MILLIS = 500;
+    private static final long SILENCE_LIMIT_MILLIS = 1_500;
+
+    private record PendingQuestion(
+            Consumer<Optional<PeerMessage.Reply>> consumer, ScheduledFuture<?> timeout) {}
+
+    private final Identity mIdentity;
+    private final Consumer<PeerLink> mOnClosed;
+    private final Map<Integer, ClientStream> mStreams = new HashMap<>();
+    private final Map<Long, PendingQuestion> mQuestions = new HashMap<>();
+    private final Deque<PeerMessage> mEarly = new ArrayDeque<>();
+    private Channel mChannel;
+    private boolean mActive;
+    private boolean mClosed;
+    private int mNextStreamId = 1;
+    private long mNextQuestionId = 1;
+    private long mLastReadNanos;
+    private long mPingSentNanos;
+    private long mLastCheckNanos;
+    private ScheduledFuture<?> mPinger;
+
+    PeerLink(final Identity identity, final Consumer<PeerLink> onClosed) {
+        mIdentity = identity;
+        mOnClosed = onClosed;
+    }
+
+    /** Must be called before the connection is used. */
+    void attach(final Channel channel) {
+        mChannel = channel;
+    }
+
+    // -- use
+
+    BodySink open(final CallHead head, final AnswerSink sink) {
+        final ClientStream stream = new ClientStream(this, sink);
+        onLoop(
+                () -> {
+                    if (mClosed) {
+                        stream.lost();
+                        return;
+                    }
+                    stream.register(mNextStreamId++);
+                    mStreams.put(stream.id(), stream);
+                    send(new PeerMessage.Open(stream.id(), head));
+                });
+        return stream;
+    }
+
+    void ask(
+            final LongFunction<PeerMessage.Question> question,
+            final long timeoutMillis,
+            final Consumer<Optional<PeerMessage.Reply>> consumer) {
+        onLoop(
+                () -> {
+                    if (mClosed) {
+                        consumer.accept(Optional.empty());
+                        return;
+                    }
+                    final long id = mNextQuestionId++;
+                    final ScheduledFuture<?> timeout =
+                            mChannel.eventLoop()
+                                    .schedule(
+                                            () -> settle(id, Optional.empty()),
+                                            timeoutMillis,
+                                            TimeUnit.MILLISECONDS);
+                    mQuestions.put(id, new PendingQuestion(consumer, timeout));
+                    send(question.apply(id));
+                });
+    }
+
+    void close() {
+        onLoop(() -> mChannel.close());
+    }
+
+    void onLoop(final Runnable action) {
+        if (mChannel.eventLoop().inEventLoop()) {
+            action.run();
+        } else {
+            mChannel.eventLoop().execute(action);
+        }
+    }
+
+    void send(final PeerMessage message) {
+        if (mActive) {
+            mChannel.writeAndFlush(message);
+        } else if (!mClosed) {
+            mEarly.add(message);
+        }
+    }
+
+    void forget(final int streamId) {
+        mStreams.remove(streamId);
+    }
+
+    // -- events
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        mActive = true;
+        mLastReadNanos = System.nanoTime();
+        ctx.write(mIdentity.hello());
+        for (final PeerMessage message : mEarly) {
+            ctx.write(message);
+        }
+        mEarly.clear();
+        ctx.flush();
+        mPinger =
+                ctx.executor()
+                        .scheduleAtFixedRate(
+                                () -> checkSilence(ctx),
+                                PING_INTERVAL_MILLIS,
+                                PING_INTERVAL_MILLIS,
+                                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext ctx, final PeerMessage message) {
+        mLastReadNanos = System.nanoTime();
+        switch (message) {
+            case PeerMessage.Hello hello -> LOGGER.atFine().log("linked to %s", hello.host());
+            case PeerMessage.Ping ping -> ctx.writeAndFlush(new PeerMessage.Pong(ping.nonce()));
+            case PeerMessage.Pong pong -> mPingSentNanos = 0;
+            case PeerMessage.StreamMessage stream -> onStream(stream);
+            case PeerMessage.Reply reply -> settle(reply.questionId(), Optional.of(reply));
+            case PeerMessage.Question question ->
+                    throw FieldReader.violation("question on an outbound link", null);
+            case PeerMessage.Unknown unknown ->
+                    LOGGER.atFine().log("message of unknown type %d skipped", unknown.type());
+        }
+    }
+
+    private void onStream(final PeerMessage.StreamMessage message) {
+        final ClientStream stream = mStreams.get(message.streamId());
+        if (stream == null) {
+            return;
+        }
+        final AnswerSink sink = stream.sink();
+        switch (message) {
+            case PeerMessage.Admit m -> sink.onAdmitted(m.load());
+            case PeerMessage.Refuse m -> {
+                mStreams.remove(m.streamId());
+                sink.onRefused(m.refusal(), m.load());
+            }
+            case PeerMessage.Head m -> sink.onHead(m.head());
+            case PeerMessage.Data m -> sink.onData(Unpooled.wrappedBuffer(m.bytes()));
+            case PeerMessage.End m -> {
+                mStreams.remove(m.streamId());
+                sink.onEnd(m.load());
+            }
+            case PeerMessage.Credit m -> sink.onCredit(m.bytes());
+            case PeerMessage.Fail m -> {
+                mStreams.remove(m.streamId());
+                sink.onFailed(m.code(), m.phase());
+            }
+            case PeerMessage.Open m -> throw FieldReader.violation("gate sent an open", null);
+            case PeerMessage.Cancel m -> throw FieldReader.violation("gate sent a cancel", null);
+        }
+    }
+
+    private void settle(final long questionId, final Optional<PeerMessage.Reply> reply) {
+        final PendingQuestion pending = mQuestions.remove(questionId);
+        if (pending != null) {
+            pending.timeout().cancel(false);
+            pending.consumer().accept(reply);
+        }
+    }
+
+    // -- liveness
+
+    private void checkSilence(final ChannelHandlerContext ctx) {
+        final long now = System.nanoTime();
+        final boolean wasPaused =
+                mLastCheckNanos != 0
+                        && now - mLastCheckNanos
+                                > TimeUnit.MILLISECONDS.toNanos(2 * PING_INTERVAL_MILLIS);
+        mLastCheckNanos = now;
+        if (wasPaused) {
+            mLastReadNanos = now;
+        }
+        final boolean silent =
+                mPingSentNanos != 0
+                        && now - mPingSentNanos
+                                > TimeUnit.MILLISECONDS.toNanos(SILENCE_LIMIT_MILLIS)
+                        && now - mLastReadNanos
+                                > TimeUnit.MILLISECONDS.toNanos(SILENCE_LIMIT_MILLIS);
+        if (silent) {
+            LOGGER.atWarning().log("link to %s is silent; closing it", ctx.channel());
+            ctx.close();
+        } else if (mPingSentNanos == 0) {
+            mPingSentNanos = now;
+            ctx.writeAndFlush(new PeerMessage.Ping(now));
+        }
+    }
+
+    void connectFailed() {
+        mChannel.eventLoop().execute(this::end);
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        end();
+    }
+
+    private void end() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mActive = false;
+        mEarly.clear();
+        if (mPinger != null) {
+            mPinger.cancel(false);
+        }
+        mOnClosed.accept(this);
+        final List<ClientStream> streams = List.copyOf(mStreams.values());
+        mStreams.clear();
+        streams.forEach(ClientStream::lost);
+        List.copyOf(mQuestions.keySet()).forEach(id -> settle(id, Optional.empty()));
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "link to %s closed: %s", ctx.channel().remoteAddress(), cause);
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/PeerServerHandler.java
@@ -0,0 +1,107 @@
+package io.bilberrylane.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Serves one inbound link: its calls go to the gate, its questions to the question handler. */
+final class PeerServerHandler extends SimpleChannelInboundHandler<PeerMessage> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_STREAMS = 4_096;
+
+    private final Identity mIdentity;
+    private final CallOpener mGate;
+    private final QuestionHandler mQuestions;
+    private final Map<Integer, ServerStream> mStreams = new HashMap<>();
+    private String mPeerHost = "";
+
+    PeerServerHandler(
+            final Identity identity, final CallOpener gate, final QuestionHandler questions) {
+        mIdentity = identity;
+        mGate = gate;
+        mQuestions = questions;
+    }
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        ctx.writeAndFlush(mIdentity.hello());
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext ctx, final PeerMessage message) {
+        switch (message) {
+            case PeerMessage.Hello hello -> mPeerHost = hello.host();
+            case PeerMessage.Ping ping -> ctx.writeAndFlush(new PeerMessage.Pong(ping.nonce()));
+            case PeerMessage.Pong pong -> LOGGER.atFinest().log("unexpected pong");
+            case PeerMessage.StreamMessage stream -> onStream(ctx, stream);
+            case PeerMessage.Question question -> ctx.writeAndFlush(mQuestions.answer(question));
+            case PeerMessage.Reply reply ->
+                    throw FieldReader.violation("reply to no question", null);
+            case PeerMessage.Unknown unknown ->
+                    LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                            "message of unknown type %d from %s skipped",
+                            unknown.type(), mPeerHost);
+        }
+    }
+
+    private void onStream(
+            final ChannelHandlerContext ctx, final PeerMessage.StreamMessage message) {
+        if (message instanceof PeerMessage.Open open) {
+            onOpen(ctx, open);
+            return;
+        }
+        final ServerStream stream = mStreams.get(message.streamId());
+        if (stream == null) {
+            return;
+        }
+        switch (message) {
+            case PeerMessage.Data data -> stream.onPeerData(Unpooled.wrappedBuffer(data.bytes()));
+            case PeerMessage.End end -> stream.body().end();
+            case PeerMessage.Cancel cancel -> {
+                mStreams.remove(cancel.streamId());
+                stream.body().cancel();
+            }
+            case PeerMessage.Credit credit -> stream.body().credit(credit.bytes());
+            case PeerMessage.Open open -> throw new IllegalStateException("handled above");
+            case PeerMessage.Admit m -> throw wrongWay(m);
+            case PeerMessage.Refuse m -> throw wrongWay(m);
+            case PeerMessage.Head m -> throw wrongWay(m);
+            case PeerMessage.Fail m -> throw wrongWay(m);
+        }
+    }
+
+    private void onOpen(final ChannelHandlerContext ctx, final PeerMessage.Open open) {
+        if (mStreams.size() >= MAX_STREAMS || mStreams.containsKey(open.streamId())) {
+            throw FieldReader.violation("stream " + open.streamId() + " cannot be opened", null);
+        }
+        final ServerStream stream =
+                new ServerStream(ctx.channel(), open.streamId(), mStreams::remove);
+        mStreams.put(open.streamId(), stream);
+        stream.attach(mGate.open(open.head(), stream));
+    }
+
+    private static RuntimeException wrongWay(final PeerMessage.StreamMessage message) {
+        return FieldReader.violation("caller sent " + message.getClass().getSimpleName(), null);
+    }
+
+    // -- end of the link
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        final List<ServerStream> streams = List.copyOf(mStreams.values());
+        mStreams.clear();
+        streams.forEach(stream -> stream.body().cancel());
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
+                "link from %s %s closed", mPeerHost, ctx.channel().remoteAddress());
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/ServerStream.java
@@ -0,0 +1,93 @@
+package io.bilberrylane.peer;
+
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.policy.TargetLoad;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import java.util.function.IntConsumer;
+
+/** Sends the events of one call back over its link. */
+final class ServerStream implements AnswerSink {
+    /** The longest part of a body in one message, in bytes. */
+    static final int MAX_CHUNK_BYTES = 256 * 1024;
+
+    private final Channel mChannel;
+    private final int mStreamId;
+    private final IntConsumer mForget;
+    private BodySink mBody;
+    private long mCreditGiven = CallOpener.INITIAL_CREDIT_BYTES;
+
+    ServerStream(final Channel channel, final int streamId, final IntConsumer forget) {
+        mChannel = channel;
+        mStreamId = streamId;
+        mForget = forget;
+    }
+
+    void attach(final BodySink body) {
+        mBody = body;
+    }
+
+    BodySink body() {
+        return mBody;
+    }
+
+    void onPeerData(final ByteBuf bytes) {
+        mCreditGiven -= bytes.readableBytes();
+        if (mCreditGiven < -MAX_CHUNK_BYTES) {
+            bytes.release();
+            throw FieldReader.violation("stream " + mStreamId + " exceeds its credit", null);
+        }
+        mBody.data(bytes);
+    }
+
+    // -- events
+
+    @Override
+    public void onAdmitted(final TargetLoad load) {
+        mChannel.writeAndFlush(new PeerMessage.Admit(mStreamId, load));
+    }
+
+    @Override
+    public void onRefused(final Refusal refusal, final TargetLoad load) {
+        finish(new PeerMessage.Refuse(mStreamId, refusal, load));
+    }
+
+    @Override
+    public void onHead(final AnswerHead head) {
+        mChannel.writeAndFlush(new PeerMessage.Head(mStreamId, head));
+    }
+
+    @Override
+    public void onData(final ByteBuf bytes) {
+        final byte[] copy = ByteBufUtil.getBytes(bytes);
+        bytes.release();
+        mChannel.writeAndFlush(new PeerMessage.Data(mStreamId, copy));
+    }
+
+    @Override
+    public void onEnd(final TargetLoad load) {
+        finish(new PeerMessage.End(mStreamId, load));
+    }
+
+    @Override
+    public void onFailed(final ErrorCode code, final CallPhase phase) {
+        finish(new PeerMessage.Fail(mStreamId, code, phase));
+    }
+
+    @Override
+    public void onCredit(final int bytes) {
+        mChannel.eventLoop().execute(() -> mCreditGiven += bytes);
+        mChannel.writeAndFlush(new PeerMessage.Credit(mStreamId, bytes));
+    }
+
+    private void finish(final PeerMessage last) {
+        mChannel.writeAndFlush(last);
+        if (mChannel.eventLoop().inEventLoop()) {
+            mForget.accept(mStreamId);
+        } else {
+            mChannel.eventLoop().execute(() -> mForget.accept(mStreamId));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/ValueFormats.java
@@ -0,0 +1,108 @@
+package io.bilberrylane.peer;
+
+import io.bilberrylane.membership.Member;
+import io.bilberrylane.membership.MemberStatus;
+import io.bilberrylane.membership.TargetRecord;
+import io.bilberrylane.policy.TargetLoad;
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.value.ArrayValue;
+import org.msgpack.value.Value;
+
+/** How compound values stand in messages: arrays whose unknown tail is skipped. */
+final class ValueFormats {
+    private ValueFormats() {}
+
+    // -- load
+
+    static void writeLoad(final TargetLoad load, final MessageBufferPacker packer)
+            throws IOException {
+        packer.packArrayHeader(5)
+                .packInt(load.inFlight())
+                .packInt(load.queued())
+                .packInt(load.allowance())
+                .packLong(load.serviceMicros())
+                .packBoolean(load.accepting());
+    }
+
+    static TargetLoad readLoad(final Value value) {
+        final ArrayValue parts = value.asArrayValue();
+        return new TargetLoad(
+                integer(parts, 0),
+                integer(parts, 1),
+                integer(parts, 2),
+                parts.get(3).asIntegerValue().toLong(),
+                parts.get(4).asBooleanValue().getBoolean());
+    }
+
+    // -- header fields
+
+    static void writeHeader(final HeaderField header, final MessageBufferPacker packer)
+            throws IOException {
+        packer.packArrayHeader(2).packString(header.name()).packString(header.value());
+    }
+
+    static HeaderField readHeader(final Value value) {
+        final ArrayValue parts = value.asArrayValue();
+        return new HeaderField(text(parts, 0), text(parts, 1));
+    }
+
+    // -- members
+
+    static void writeMember(final Member member, final MessageBufferPacker packer)
+            throws IOException {
+        packer.packArrayHeader(7)
+                .packString(member.host())
+                .packString(member.dataCentre())
+                .packString(member.peerAddress())
+                .packLong(member.incarnation())
+                .packLong(member.revision())
+                .packInt(member.status().ordinal());
+        if (member.target().isPresent()) {
+            writeTarget(member.target().get(), packer);
+        } else {
+            packer.packNil();
+        }
+    }
+
+    static Member readMember(final Value value) {
+        final ArrayValue parts = value.asArrayValue();
+        return new Member(
+                text(parts, 0),
+                text(parts, 1),
+                text(parts, 2),
+                parts.get(3).asIntegerValue().toLong(),
+                parts.get(4).asIntegerValue().toLong(),
+                MemberStatus.values()[integer(parts, 5)],
+                parts.get(6).isNilValue()
+                        ? Optional.empty()
+                        : Optional.of(readTarget(parts.get(6))));
+    }
+
+    private static void writeTarget(final TargetRecord target, final MessageBufferPacker packer)
+            throws IOException {
+        packer.packArrayHeader(4)
+                .packString(target.service())
+                .packLong(target.incarnation())
+                .packInt(target.slots())
+                .packBoolean(target.accepting());
+    }
+
+    private static TargetRecord readTarget(final Value value) {
+        final ArrayValue parts = value.asArrayValue();
+        return new TargetRecord(
+                text(parts, 0),
+                parts.get(1).asIntegerValue().toLong(),
+                integer(parts, 2),
+                parts.get(3).asBooleanValue().getBoolean());
+    }
+
+    private static int integer(final ArrayValue parts, final int index) {
+        return parts.get(index).asIntegerValue().toInt();
+    }
+
+    private static String text(final ArrayValue parts, final int index) {
+        return parts.get(index).asStringValue().asString();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/platform/PlatformErrors.java
@@ -0,0 +1,21 @@
+package io.bilberrylane.platform;
+
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+
+/** Turns the platform's statuses into errors. */
+final class PlatformErrors {
+    private PlatformErrors() {}
+
+    static BilberrylaneException of(final int status, final String body) {
+        final ErrorCode code =
+                switch (status) {
+                    case 404 -> ErrorCode.PLATFORM_NOT_FOUND;
+                    case 409 -> ErrorCode.PLATFORM_CONFLICT;
+                    case 410 -> ErrorCode.PLATFORM_GONE;
+                    case 429 -> ErrorCode.PLATFORM_THROTTLED;
+                    default -> ErrorCode.PLATFORM_UNAVAILABLE;
+                };
+        return new BilberrylaneException(code, "the platform answered " + status + ": " + body);
+    }
+}
