--- /dev/null
+++ b/src/main/java/io/bilberrylane/policy/Candidate.java
@@ -0,0 +1,18 @@
+package io.bilberrylane.policy;
+
+import java.util.Objects;
+
+/**
+ * A target that may serve a call.
+ *
+ * @param host the target's host
+ * @param dataCentre the target's data centre
+ * @param slots requests that it serves at once when warm
+ */
+public record Candidate(String host, String dataCentre, int slots) {
+    /** Checks that every part is present. */
+    public Candidate {
+        Objects.requireNonNull(host, "host is null");
+        Objects.requireNonNull(dataCentre, "dataCentre is null");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/policy/ColdStart.java
@@ -0,0 +1,129 @@
+package io.bilberrylane.policy;
+
+/**
+ * Bounds the requests in service at a target that may be cold.
+ *
+ * <p>The allowance starts at the cold concurrency and grows by one after as many healthy
+ * completions as it is large. A burst of failures or a jump of the service time returns it to the
+ * cold concurrency at once. Not thread-safe.
+ */
+public final class ColdStart {
+    /** Failures in a row that count as a cold target. */
+    static final int FAILURE_BURST = 3;
+
+    /** Slow completions in a row that count as a cold target. */
+    static final int SLOW_BURST = 4;
+
+    /** A completion is slow when it takes this many times the warm service time. */
+    static final double SLOW_FACTOR = 4.0;
+
+    /** A completion below this time is never slow, in nanoseconds. */
+    static final long SLOW_FLOOR_NANOS = 2_000_000L;
+
+    private static final double WARM_WEIGHT = 0.05;
+
+    private final int mSlots;
+    private final int mColdSlots;
+    private int mAllowance;
+    private int mHealthyCompletions;
+    private int mFailuresInRow;
+    private int mSlowInRow;
+    private double mWarmNanos;
+    private long mFalls;
+
+    private ColdStart(final int slots, final int coldSlots) {
+        mSlots = slots;
+        mColdSlots = Math.min(slots, Math.max(1, coldSlots));
+        mAllowance = mColdSlots;
+    }
+
+    /**
+     * Returns the state of a target that has just announced itself.
+     *
+     * @param slots requests that it serves at once when warm
+     * @param coldSlots requests that it bears while cold; 1 when not announced
+     * @return a cold state
+     */
+    public static ColdStart of(final int slots, final int coldSlots) {
+        return new ColdStart(slots, coldSlots);
+    }
+
+    /**
+     * Returns the most requests that may be in service.
+     *
+     * @return from the cold concurrency to the slots
+     */
+    public int allowance() {
+        return mAllowance;
+    }
+
+    /**
+     * Returns how often the target was found to have turned cold.
+     *
+     * @return a count since the announcement
+     */
+    public long falls() {
+        return mFalls;
+    }
+
+    /**
+     * Takes note of a completed request.
+     *
+     * @param healthy whether the target answered without a server error
+     * @param serviceNanos time in service, in nanoseconds
+     */
+    public void complete(final boolean healthy, final long serviceNanos) {
+        if (!healthy) {
+            mHealthyCompletions = 0;
+            if (++mFailuresInRow >= FAILURE_BURST) {
+                fall();
+            }
+            return;
+        }
+        mFailuresInRow = 0;
+        if (isSlow(serviceNanos)) {
+            if (++mSlowInRow >= SLOW_BURST) {
+                fall();
+            }
+            return;
+        }
+        mSlowInRow = 0;
+        learn(serviceNanos);
+        grow();
+    }
+
+    /** Returns the allowance to the cold concurrency. */
+    public void fall() {
+        if (mAllowance > mColdSlots) {
+            mFalls++;
+        }
+        mAllowance = mColdSlots;
+        mHealthyCompletions = 0;
+        mFailuresInRow = 0;
+        mSlowInRow = 0;
+        mWarmNanos = 0;
+    }
+
+    // -- growth
+
+    private boolean isSlow(final long serviceNanos) {
+        return mWarmNanos > 0
+                && mAllowance > mColdSlots
+                && serviceNanos > SLOW_FLOOR_NANOS
+                && serviceNanos > mWarmNanos * SLOW_FACTOR;
+    }
+
+    private void learn(final long serviceNanos) {
+        mWarmNanos =
+                mWarmNanos == 0
+                        ? serviceNanos
+                        : mWarmNanos + WARM_WEIGHT * (serviceNanos - mWarmNanos);
+    }
+
+    private void grow() {
+        if (mAllowance < mSlots && ++mHealthyCompletions >= mAllowance) {
+            mAllowance++;
+            mHealthyCompletions = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/policy/LoadTable.java
@@ -0,0 +1,127 @@
+package io.bilberrylane.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What one ingress knows of targets: their last told load, corrected by the calls it has sent
+ * since. Not thread-safe.
+ */
+public final class LoadTable {
+    private static final class Entry {
+        private TargetLoad mLoad;
+        private long mToldNanos;
+        private int mOutstanding;
+        private int mOutstandingWhenTold;
+    }
+
+    private final Map<String, Entry> mEntries = new HashMap<>();
+
+    private LoadTable() {}
+
+    /**
+     * Returns a table that knows nothing.
+     *
+     * @return an empty table
+     */
+    public static LoadTable empty() {
+        return new LoadTable();
+    }
+
+    // -- changes
+
+    /**
+     * A call was sent to a target.
+     *
+     * @param host the target's host
+     */
+    public void sent(final String host) {
+        entry(host).mOutstanding++;
+    }
+
+    /**
+     * A call at a target is over.
+     *
+     * @param host the target's host
+     */
+    public void done(final String host) {
+        final Entry entry = entry(host);
+        entry.mOutstanding = Math.max(0, entry.mOutstanding - 1);
+        entry.mOutstandingWhenTold = Math.min(entry.mOutstandingWhenTold, entry.mOutstanding);
+    }
+
+    /**
+     * A target's gate told its load.
+     *
+     * @param host the target's host
+     * @param load the load
+     * @param nowNanos the monotonic clock
+     */
+    public void told(final String host, final TargetLoad load, final long nowNanos) {
+        final Entry entry = entry(host);
+        entry.mLoad = load;
+        entry.mToldNanos = nowNanos;
+        entry.mOutstandingWhenTold = entry.mOutstanding;
+    }
+
+    /**
+     * Forgets a target.
+     *
+     * @param host the target's host
+     */
+    public void forget(final String host) {
+        mEntries.remove(host);
+    }
+
+    // -- queries
+
+    /**
+     * Returns the last told load of a target, with the calls sent since.
+     *
+     * @param host the target's host
+     * @return an estimate, or nothing when the target never told
+     */
+    public Optional<TargetLoad> estimate(final String host) {
+        final Entry entry = mEntries.get(host);
+        if (entry == null || entry.mLoad == null) {
+            return Optional.empty();
+        }
+        final int since = Math.max(0, entry.mOutstanding - entry.mOutstandingWhenTold);
+        final TargetLoad load = entry.mLoad;
+        return Optional.of(
+                new TargetLoad(
+                        load.inFlight() + since,
+                        load.queued(),
+                        load.allowance(),
+                        load.serviceMicros(),
+                        load.accepting()));
+    }
+
+    /**
+     * Returns the age of the last told load.
+     *
+     * @param host the target's host
+     * @param nowNanos the monotonic clock
+     * @return nanoseconds; the largest value when the target never told
+     */
+    public long ageNanos(final String host, final long nowNanos) {
+        final Entry entry = mEntries.get(host);
+        return entry == null || entry.mLoad == null ? Long.MAX_VALUE : nowNanos - entry.mToldNanos;
+    }
+
+    /**
+     * Returns the calls sent to a target that are not over.
+     *
+     * @param host the target's host
+     * @return a count
+     */
+    public int outstanding(final String host) {
+        final Entry entry = mEntries.get(host);
+        return entry == null ? 0 : entry.mOutstanding;
+    }
+
+    private Entry entry(final String host) {
+        return mEntries.computeIfAbsent(host, key -> new Entry());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/standin/JsonServer.java
@@ -0,0 +1,104 @@
+package io.bilberrylane.standin;
+
+import io.bilberrylane.net.Transport;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+
+/** Serves short JSON requests, each read whole. */
+final class JsonServer implements AutoCloseable {
+    private static final int MAX_REQUEST_BYTES = 4 * 1024 * 1024;
+
+    private final Channel mChannel;
+
+    private JsonServer(final Channel channel) {
+        mChannel = channel;
+    }
+
+    /** Handles one request. */
+    @FunctionalInterface
+    interface Handler {
+        void handle(ChannelHandlerContext ctx, FullHttpRequest request);
+    }
+
+    static JsonServer bind(
+            final Transport transport, final InetSocketAddress address, final Handler handler) {
+        final Channel channel =
+                transport
+                        .serverBootstrap()
+                        .childHandler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(final Channel child) {
+                                        child.pipeline()
+                                                .addLast(new HttpServerCodec())
+                                                .addLast(
+                                                        new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                                                .addLast(adapter(handler));
+                                    }
+                                })
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+        return new JsonServer(channel);
+    }
+
+    private static SimpleChannelInboundHandler<FullHttpRequest> adapter(final Handler handler) {
+        return new SimpleChannelInboundHandler<>() {
+            @Override
+            protected void channelRead0(
+                    final ChannelHandlerContext ctx, final FullHttpRequest request) {
+                handler.handle(ctx, request);
+            }
+
+            @Override
+            public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+                ctx.close();
+            }
+        };
+    }
+
+    static void answer(
+            final ChannelHandlerContext ctx,
+            final FullHttpRequest request,
+            final int status,
+            final String body) {
+        final byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        final FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        Unpooled.wrappedBuffer(bytes));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+        final boolean keepAlive = HttpUtil.isKeepAlive(request);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        final io.netty.channel.ChannelFuture written = ctx.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    @Override
+    public void close() {
+        mChannel.close().syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/standin/RunRecord.java
@@ -0,0 +1,43 @@
+package io.bilberrylane.standin;
+
+/** What a target remembers of one request that it ran. */
+final class RunRecord {
+    private final String mNonce;
+    private final String mKey;
+    private final String mMethod;
+    private final long mStartedNanos = System.nanoTime();
+    private long mBodyBytes;
+    private long mEndedNanos;
+    private boolean mFinished;
+
+    RunRecord(final String nonce, final String key, final String method) {
+        mNonce = nonce;
+        mKey = key;
+        mMethod = method;
+    }
+
+    void addBody(final int bytes) {
+        mBodyBytes += bytes;
+    }
+
+    long bodyBytes() {
+        return mBodyBytes;
+    }
+
+    void end(final boolean finished) {
+        mFinished = finished;
+        mEndedNanos = System.nanoTime();
+    }
+
+    com.fasterxml.jackson.databind.node.ObjectNode toJson(
+            final com.fasterxml.jackson.databind.ObjectMapper mapper) {
+        return mapper.createObjectNode()
+                .put("nonce", mNonce)
+                .put("key", mKey)
+                .put("method", mMethod)
+                .put("bodyBytes", mBodyBytes)
+                .put("startedNanos", mStartedNanos)
+                .put("endedNanos", mEndedNanos)
+                .put("finished", mFinished);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/standin/TargetService.java
@@ -0,0 +1,153 @@
+package io.bilberrylane.standin;
+
+import io.bilberrylane.http.Headers;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.TimeUnit;
+
+/** Serves the requests of one connection to a target stand-in. */
+final class TargetService extends SimpleChannelInboundHandler<HttpObject> {
+    /** Asks for an answer of this many bytes. */
+    static final String ANSWER_BYTES = "X-Answer-Bytes";
+
+    /** Identifies a request; its answer repeats it. */
+    static final String NONCE = "X-Nonce";
+
+    /** Tells how many bytes of body arrived. */
+    static final String BODY_BYTES = "X-Body-Bytes";
+
+    /** Makes the target's process end at once. */
+    static final String CRASH = "X-Crash";
+
+    private static final int CRASH_STATUS = 134;
+
+    private final TargetState mState;
+    private HttpRequest mRequest;
+    private RunRecord mRun;
+    private int mStatus;
+    private boolean mRunning;
+    private volatile boolean mSilent;
+
+    TargetService(final TargetState state) {
+        mState = state;
+    }
+
+    void goSilent() {
+        mSilent = true;
+    }
+
+    // -- connection
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        if (!mState.connected()) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        mState.disconnected();
+        if (mRunning) {
+            mRunning = false;
+            mState.end(mRun, false);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        ctx.close();
+    }
+
+    // -- requests
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject message) {
+        if (mSilent) {
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (message instanceof HttpContent content) {
+            mRun.addBody(content.content().readableBytes());
+            if (message instanceof LastHttpContent) {
+                finishLater(ctx);
+            }
+        }
+    }
+
+    private void begin(final HttpRequest request) {
+        mRequest = request;
+        if (request.headers().contains(CRASH)) {
+            Runtime.getRuntime().halt(CRASH_STATUS);
+        }
+        mRun =
+                new RunRecord(
+                        request.headers().get(NONCE, ""),
+                        request.headers().get(Headers.IDEMPOTENCY_KEY, ""),
+                        request.method().name());
+        mStatus = mState.begin(mRun);
+        mRunning = true;
+    }
+
+    private void finishLater(final ChannelHandlerContext ctx) {
+        final long delayNanos = mStatus == 200 ? mState.serviceNanos() : 0;
+        ctx.executor().schedule(() -> finish(ctx), delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void finish(final ChannelHandlerContext ctx) {
+        if (!mRunning || mSilent) {
+            return;
+        }
+        mRunning = false;
+        mState.end(mRun, mStatus == 200);
+        final int length = mRequest.headers().getInt(ANSWER_BYTES, 64);
+        final String nonce = mState.answerNonce(mRequest.headers().get(NONCE, ""));
+        final HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(mStatus));
+        response.headers().set(NONCE, nonce);
+        response.headers().set(BODY_BYTES, mRun.bodyBytes());
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        final String callId = mRequest.headers().get(Headers.CALL_ID);
+        if (callId != null && nonce.equals(mRequest.headers().get(NONCE, ""))) {
+            response.headers().set(Headers.CALL_ID, callId);
+        } else if (callId != null) {
+            response.headers().set(Headers.CALL_ID, "crossed");
+        }
+        ctx.write(response);
+        if (!mRequest.method().equals(HttpMethod.HEAD)) {
+            ctx.write(new DefaultHttpContent(pattern(nonce, length)));
+        }
+        final ChannelFuture written = ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (!HttpUtil.isKeepAlive(mRequest)) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /** Returns a body that only the request of this nonce can get. */
+    static ByteBuf pattern(final String nonce, final int length) {
+        final byte[] seed = (nonce + "|").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        final byte[] body = new byte[length];
+        for (int i = 0; i < length; i++) {
+            body[i] = seed[i % seed.length];
+        }
+        return Unpooled.wrappedBuffer(body);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/standin/TargetSettings.java
@@ -0,0 +1,36 @@
+package io.bilberrylane.standin;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+/**
+ * The settings of a target stand-in.
+ *
+ * @param service the catalogue entry that it serves
+ * @param address where its node connects
+ * @param controlAddress where faults are set and records are read
+ * @param nodeAddress where its node takes announcements
+ * @param slots requests that it serves at once when warm
+ * @param connections connections that it accepts
+ * @param coldSlots requests that it bears while cold
+ * @param warmUpRequests requests until it is warm
+ * @param serviceMicros mean service time, in microseconds
+ */
+public record TargetSettings(
+        String service,
+        InetSocketAddress address,
+        InetSocketAddress controlAddress,
+        InetSocketAddress nodeAddress,
+        int slots,
+        int connections,
+        int coldSlots,
+        int warmUpRequests,
+        long serviceMicros) {
+    /** Checks that every part is present. */
+    public TargetSettings {
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(address, "address is null");
+        Objects.requireNonNull(controlAddress, "controlAddress is null");
+        Objects.requireNonNull(nodeAddress, "nodeAddress is null");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/standin/TargetStandIn.java
@@ -0,0 +1,180 @@
+package io.bilberrylane.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.ResourceCloser;
+import io.bilberrylane.net.HttpCaller;
+import io.bilberrylane.net.Transport;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** A service to balance load over, with faults that can be set while it runs. */
+public final class TargetStandIn implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long ANNOUNCE_MILLIS = 500;
+    private static final long LEASE_MILLIS = 2_000;
+
+    private final ResourceCloser mCloser = ResourceCloser.empty();
+    private final TargetSettings mSettings;
+    private final TargetState mState;
+    private final HttpCaller mCaller;
+    private final ChannelGroup mConnections =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final long mIncarnation = System.currentTimeMillis();
+    private Channel mChannel;
+    private JsonServer mControl;
+    private volatile boolean mClosed;
+
+    private TargetStandIn(final Transport transport, final TargetSettings settings) {
+        mSettings = settings;
+        mState = new TargetState(settings);
+        mCaller = HttpCaller.of(transport);
+    }
+
+    /**
+     * Returns a running stand-in that announces itself.
+     *
+     * @param transport threads and channel types
+     * @param settings its settings
+     * @return the stand-in
+     */
+    public static TargetStandIn start(final Transport transport, final TargetSettings settings) {
+        final TargetStandIn standIn = new TargetStandIn(transport, settings);
+        standIn.open(transport);
+        return standIn;
+    }
+
+    private void open(final Transport transport) {
+        mChannel =
+                transport
+                        .serverBootstrap()
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(final Channel channel) {
+                                        mConnections.add(channel);
+                                        channel.pipeline()
+                                                .addLast(new HttpServerCodec())
+                                                .addLast(new TargetService(mState));
+                                    }
+                                })
+                        .bind(mSettings.address())
+                        .syncUninterruptibly()
+                        .channel();
+        mCloser.add(() -> mChannel.close().syncUninterruptibly());
+        mControl =
+                mCloser.add(JsonServer.bind(transport, mSettings.controlAddress(), this::control));
+        transport
+                .group()
+                .scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns where its node connects.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) mChannel.localAddress();
+    }
+
+    /**
+     * Returns where faults are set and records are read.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress controlAddress() {
+        return mControl.address();
+    }
+
+    /**
+     * Sets how it misbehaves from now on.
+     *
+     * @param faults the faults
+     */
+    public void setFaults(final TargetFaults faults) {
+        mState.setFaults(faults);
+        if (faults.goSilent()) {
+            mConnections.forEach(channel -> channel.pipeline().get(TargetService.class).goSilent());
+        }
+    }
+
+    /**
+     * Returns all that it saw, as JSON.
+     *
+     * @return its peaks, excesses and runs
+     */
+    public String record() {
+        return mState.record();
+    }
+
+    // -- announcements
+
+    private void announce() {
+        if (mClosed) {
+            return;
+        }
+        final ObjectNode body = MAPPER.createObjectNode();
+        body.put("service", mSettings.service());
+        body.put("address", address().getAddress().getHostAddress() + ":" + address().getPort());
+        body.put("slots", mSettings.slots());
+        body.put("connections", mSettings.connections());
+        body.put("coldSlots", mSettings.coldSlots());
+        body.put("incarnation", mIncarnation);
+        body.put("leaseMillis", LEASE_MILLIS);
+        body.put("draining", mState.faults().draining());
+        mCaller.call(
+                        mSettings.nodeAddress(),
+                        HttpMethod.PUT,
+                        "/.bilberrylane/announcement",
+                        body.toString(),
+                        LEASE_MILLIS)
+                .whenComplete(
+                        (reply, failure) -> {
+                            if (failure != null || !reply.isSuccess()) {
+                                LOGGER.atInfo().atMostEvery(5, TimeUnit.SECONDS).log(
+                                        "announcement failed: %s %s", reply, failure);
+                            }
+                        });
+    }
+
+    // -- control
+
+    private void control(final ChannelHandlerContext ctx, final FullHttpRequest request) {
+        switch (request.uri()) {
+            case "/standin/record" -> JsonServer.answer(ctx, request, 200, record());
+            case "/standin/faults" -> {
+                try {
+                    final String body = request.content().toString(StandardCharsets.UTF_8);
+                    setFaults(MAPPER.readValue(body, TargetFaults.class));
+                    JsonServer.answer(ctx, request, 200, "{}");
+                } catch (JsonProcessingException e) {
+                    JsonServer.answer(ctx, request, 400, "{}");
+                }
+            }
+            default -> JsonServer.answer(ctx, request, 404, "{}");
+        }
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mCloser.close();
+        mConnections.close();
+    }
+}
