--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Objects;
@@ -121,7 +120,7 @@
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(config, handler::onHeadBytes))
                 .addLast(encoder)
-                .addLast(new FlowControlHandler())
+                .addLast(new OneByOneHandler())
                 .addLast(handler);
     }
 
--- a/src/main/java/io/bilberrylane/http/TargetPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetPool.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.flow.FlowControlHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -153,7 +152,7 @@
                                                         MAX_LINE_BYTES,
                                                         MAX_HEAD_BYTES,
                                                         MAX_CHUNK_BYTES))
-                                        .addLast(new FlowControlHandler())
+                                        .addLast(new OneByOneHandler())
                                         .addLast(connection);
                             }
                         })
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -91,7 +91,10 @@
             return renew(known, announcement);
         }
         final GateAdmission admission =
-                GateAdmission.of(announcement.slots(), announcement.coldSlots());
+                GateAdmission.of(
+                        announcement.slots(),
+                        announcement.coldSlots(),
+                        announcement.warmUpRequests());
         final int warm = Math.min(announcement.slots() + SPARE_CONNECTIONS, 1 + SPARE_CONNECTIONS);
         final TargetPool pool =
                 TargetPool.of(
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -206,6 +206,25 @@
         return mConfiguration.revision() > 0 && !mGate.isLeaving();
     }
 
+    /**
+     * Returns the configuration in force.
+     *
+     * @return its revision; 0 before the first
+     */
+    public long revision() {
+        return mConfiguration.revision();
+    }
+
+    /**
+     * Returns how many targets of a service this node knows.
+     *
+     * @param service the catalogue entry
+     * @return a count
+     */
+    public int targets(final String service) {
+        return mMembership.targets(service).size();
+    }
+
     // -- addresses
 
     /**
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -40,6 +40,7 @@
     private int mOverloads;
     private boolean mBodySent;
     private boolean mHeadSeen;
+    private boolean mMayHaveRun;
     private boolean mOver;
 
     RoutedCall(
@@ -88,7 +89,12 @@
                         .open(mHead.forAttempt(callId, remainingMillis, mAttempts, false), next);
     }
 
+    /** Ends the call without a run; an earlier attempt that may have run makes that untrue. */
     private void refuse(final Refusal refusal) {
+        if (mMayHaveRun) {
+            fail(refusal.code(), CallPhase.STARTED);
+            return;
+        }
         if (over()) {
             final long retryAfter = Math.max(refusal.retryAfterMillis(), RETRY_AFTER_MILLIS);
             mSink.onRefused(
@@ -290,6 +296,8 @@
         if (mOver) {
             return;
         }
+        mMayHaveRun |= !phase.isNotRun() && code != ErrorCode.LINK_LOST;
+        mMayHaveRun |= code == ErrorCode.LINK_LOST && mHead.idempotent();
         final boolean unheard = !mBodySent && !mHeadSeen && mAttempts < MAX_ATTEMPTS;
         if (unheard && (mHead.idempotent() || phase.isNotRun())) {
             attempt(Refusal.of(code));
@@ -313,6 +321,7 @@
         if (mOver) {
             return;
         }
+        mMayHaveRun |= !phase.isNotRun();
         if (phase.isNotRun() && !mBodySent && mAttempts < MAX_ATTEMPTS) {
             attempt(Refusal.of(ErrorCode.LINK_LOST));
         } else {
--- a/src/main/java/io/bilberrylane/node/TargetAnnouncement.java
+++ b/src/main/java/io/bilberrylane/node/TargetAnnouncement.java
@@ -10,6 +10,7 @@
  * @param slots requests that it serves at once when warm
  * @param connections connections that it accepts
  * @param coldSlots requests that it bears while cold
+ * @param warmUpRequests requests until it is warm; 0 when it does not know
  * @param incarnation its own start, in milliseconds since 1970
  * @param leaseMillis how long the announcement holds without a renewal, in milliseconds
  * @param draining whether it wants no new work
@@ -21,6 +22,7 @@
         int slots,
         int connections,
         int coldSlots,
+        int warmUpRequests,
         long incarnation,
         long leaseMillis,
         boolean draining,
@@ -29,9 +31,9 @@
     public TargetAnnouncement {
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(address, "address is null");
-        if (slots < 1 || connections < 1 || coldSlots < 0 || leaseMillis < 1) {
+        if (slots < 1 || connections < 1 || coldSlots < 0 || warmUpRequests < 0 || leaseMillis < 1) {
             throw new IllegalArgumentException(
-                    "slots, connections and leaseMillis must be at least 1, coldSlots at least 0");
+                    "slots, connections and leaseMillis must be at least 1, others at least 0");
         }
     }
 
--- a/src/main/java/io/bilberrylane/policy/ColdStart.java
+++ b/src/main/java/io/bilberrylane/policy/ColdStart.java
@@ -3,8 +3,8 @@
 /**
  * Bounds the requests in service at a target that may be cold.
  *
- * <p>The allowance starts at the cold concurrency and grows by one after as many healthy
- * completions as it is large. A burst of failures or a jump of the service time returns it to the
+ * <p>The allowance starts at the cold concurrency. After the announced warm-up it grows by one
+ * after as many healthy completions as it is large. A burst of failures or a jump of the service time returns it to the
  * cold concurrency at once. Not thread-safe.
  */
 public final class ColdStart {
@@ -24,6 +24,8 @@
 
     private final int mSlots;
     private final int mColdSlots;
+    private final int mWarmUpRequests;
+    private int mWarmUpLeft;
     private int mAllowance;
     private int mHealthyCompletions;
     private int mFailuresInRow;
@@ -31,8 +33,10 @@
     private double mWarmNanos;
     private long mFalls;
 
-    private ColdStart(final int slots, final int coldSlots) {
+    private ColdStart(final int slots, final int coldSlots, final int warmUpRequests) {
         mSlots = slots;
+        mWarmUpRequests = warmUpRequests;
+        mWarmUpLeft = warmUpRequests;
         mColdSlots = Math.min(slots, Math.max(1, coldSlots));
         mAllowance = mColdSlots;
     }
@@ -42,10 +46,12 @@
      *
      * @param slots requests that it serves at once when warm
      * @param coldSlots requests that it bears while cold; 1 when not announced
+     * @param warmUpRequests healthy completions until the target is warm; 0 when not announced
      * @return a cold state
      */
-    public static ColdStart of(final int slots, final int coldSlots) {
-        return new ColdStart(slots, coldSlots);
+    public static ColdStart of(
+            final int slots, final int coldSlots, final int warmUpRequests) {
+        return new ColdStart(slots, coldSlots, warmUpRequests);
     }
 
     /**
@@ -98,6 +104,7 @@
             mFalls++;
         }
         mAllowance = mColdSlots;
+        mWarmUpLeft = mWarmUpRequests;
         mHealthyCompletions = 0;
         mFailuresInRow = 0;
         mSlowInRow = 0;
@@ -121,6 +128,10 @@
     }
 
     private void grow() {
+        if (mWarmUpLeft > 0) {
+            mWarmUpLeft--;
+            return;
+        }
         if (mAllowance < mSlots && ++mHealthyCompletions >= mAllowance) {
             mAllowance++;
             mHealthyCompletions = 0;
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -38,12 +38,12 @@
     private boolean mAccepting = true;
     private int mPeakInService;
 
-    private GateAdmission(final int slots, final int coldSlots) {
+    private GateAdmission(final int slots, final int coldSlots, final int warmUpRequests) {
         if (slots < 1) {
             throw new IllegalArgumentException("slots is below 1");
         }
         mSlots = slots;
-        mColdStart = ColdStart.of(slots, coldSlots);
+        mColdStart = ColdStart.of(slots, coldSlots, warmUpRequests);
     }
 
     /**
@@ -51,10 +51,12 @@
      *
      * @param slots requests that it serves at once when warm, at least 1
      * @param coldSlots requests that it bears while cold
+     * @param warmUpRequests healthy completions until the target is warm; 0 when not announced
      * @return a state with nothing in service
      */
-    public static GateAdmission of(final int slots, final int coldSlots) {
-        return new GateAdmission(slots, coldSlots);
+    public static GateAdmission of(
+            final int slots, final int coldSlots, final int warmUpRequests) {
+        return new GateAdmission(slots, coldSlots, warmUpRequests);
     }
 
     // -- queries
--- a/src/main/java/io/bilberrylane/standin/TargetStandIn.java
+++ b/src/main/java/io/bilberrylane/standin/TargetStandIn.java
@@ -135,6 +135,7 @@
         body.put("slots", mSettings.slots());
         body.put("connections", mSettings.connections());
         body.put("coldSlots", mSettings.coldSlots());
+        body.put("warmUpRequests", mSettings.warmUpRequests());
         body.put("incarnation", mIncarnation);
         body.put("leaseMillis", LEASE_MILLIS);
         body.put("draining", mState.faults().draining());
