Hold the interfaces with contract tests; bound what peer messages allocate

Cause: the byte fuzz of the peer codec ended its process: five bytes that announce an array of 2^31 items made the library allocate them (heap space). Change: announced sizes are held against the bytes that are there, before anything is allocated. A head that the decoder cannot read is answered with 400 after the answers before it.

--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -4,8 +4,12 @@
 import io.bilberrylane.base.ErrorCode;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -22,6 +26,7 @@
     private InboundExchange mExchange;
     private HttpRequest mNext;
     private boolean mDiscarding;
+    private boolean mUnreadable;
     private ScheduledFuture<?> mTimer;
 
     IngressHandler(final IngressSettings settings, final AnswerEncoder encoder) {
@@ -49,10 +54,26 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-        LOGGER.atInfo().atMostEvery(1, java.util.concurrent.TimeUnit.SECONDS).withCause(cause).log("caller connection failed");
+        if (cause instanceof DecoderException && ctx.channel().isActive()) {
+            mUnreadable = true;
+            if (mExchange == null) {
+                refuseUnreadable();
+            }
+            return;
+        }
+        LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
+                "caller connection failed");
         ctx.close();
     }
 
+    /** Refuses a head that the decoder could not read; nothing after it is read. */
+    private void refuseUnreadable() {
+        final HttpRequest unreadable =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        mExchange = new InboundExchange(mCtx, this, mSettings, unreadable);
+        mExchange.refuseSyntax(ErrorCode.BAD_REQUEST);
+    }
+
     boolean isClosing() {
         return mSettings.isLeaving();
     }
@@ -85,7 +106,7 @@
     }
 
     private void start(final HttpRequest request) {
-        mEncoder.expect(request.method().equals(io.netty.handler.codec.http.HttpMethod.HEAD));
+        mEncoder.expect(request.method().equals(HttpMethod.HEAD));
         mExchange = new InboundExchange(mCtx, this, mSettings, request);
         final Optional<ErrorCode> refusal = RequestCheck.refusal(request);
         if (refusal.isPresent()) {
@@ -130,6 +151,10 @@
             mCtx.close();
             return;
         }
+        if (mUnreadable) {
+            refuseUnreadable();
+            return;
+        }
         if (bodyRemains) {
             mDiscarding = true;
             startTimer(mSettings.limits().headTimeoutMillis());
--- a/src/main/java/io/bilberrylane/http/OneByOneHandler.java
+++ b/src/main/java/io/bilberrylane/http/OneByOneHandler.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.ReferenceCountUtil;
-
 import java.util.ArrayDeque;
 import java.util.Deque;
 
--- a/src/main/java/io/bilberrylane/node/TargetAnnouncement.java
+++ b/src/main/java/io/bilberrylane/node/TargetAnnouncement.java
@@ -31,7 +31,11 @@
     public TargetAnnouncement {
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(address, "address is null");
-        if (slots < 1 || connections < 1 || coldSlots < 0 || warmUpRequests < 0 || leaseMillis < 1) {
+        if (slots < 1
+                || connections < 1
+                || coldSlots < 0
+                || warmUpRequests < 0
+                || leaseMillis < 1) {
             throw new IllegalArgumentException(
                     "slots, connections and leaseMillis must be at least 1, others at least 0");
         }
--- /dev/null
+++ b/src/main/java/io/bilberrylane/peer/BoundedValueReader.java
@@ -0,0 +1,68 @@
+package io.bilberrylane.peer;
+
+import java.io.IOException;
+import org.msgpack.core.ExtensionTypeHeader;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.Value;
+import org.msgpack.value.ValueFactory;
+
+/** Reads values whose announced sizes fit the bytes that are there, so that none allocates more. */
+final class BoundedValueReader {
+    private static final int MAX_DEPTH = 8;
+
+    private final MessageUnpacker mUnpacker;
+    private final int mLengthBytes;
+
+    BoundedValueReader(final MessageUnpacker unpacker, final int lengthBytes) {
+        mUnpacker = unpacker;
+        mLengthBytes = lengthBytes;
+    }
+
+    Value read() throws IOException {
+        return read(0);
+    }
+
+    private Value read(final int depth) throws IOException {
+        if (depth > MAX_DEPTH) {
+            throw FieldReader.violation("values are nested too deeply", null);
+        }
+        return switch (mUnpacker.getNextFormat().getValueType()) {
+            case ARRAY -> readArray(depth);
+            case MAP -> readMap(depth);
+            case STRING -> ValueFactory.newString(payload(mUnpacker.unpackRawStringHeader()));
+            case BINARY -> ValueFactory.newBinary(payload(mUnpacker.unpackBinaryHeader()));
+            case EXTENSION -> {
+                final ExtensionTypeHeader header = mUnpacker.unpackExtensionTypeHeader();
+                yield ValueFactory.newExtension(header.getType(), payload(header.getLength()));
+            }
+            case NIL, BOOLEAN, INTEGER, FLOAT -> mUnpacker.unpackValue();
+        };
+    }
+
+    private Value readArray(final int depth) throws IOException {
+        final Value[] items = new Value[fitting(mUnpacker.unpackArrayHeader())];
+        for (int i = 0; i < items.length; i++) {
+            items[i] = read(depth + 1);
+        }
+        return ValueFactory.newArray(items, true);
+    }
+
+    private Value readMap(final int depth) throws IOException {
+        final Value[] items = new Value[2 * fitting(mUnpacker.unpackMapHeader())];
+        for (int i = 0; i < items.length; i++) {
+            items[i] = read(depth + 1);
+        }
+        return ValueFactory.newMap(items, true);
+    }
+
+    private byte[] payload(final int size) throws IOException {
+        return mUnpacker.readPayload(fitting(size));
+    }
+
+    private int fitting(final int size) {
+        if (size < 0 || size > mLengthBytes - mUnpacker.getTotalReadBytes()) {
+            throw FieldReader.violation("a value announces more than the message holds", null);
+        }
+        return size;
+    }
+}
--- a/src/main/java/io/bilberrylane/peer/FieldReader.java
+++ b/src/main/java/io/bilberrylane/peer/FieldReader.java
@@ -37,8 +37,9 @@
                 throw violation("message has more than " + MAX_FIELDS + " fields", null);
             }
             final Map<Integer, Value> fields = new HashMap<>();
+            final BoundedValueReader values = new BoundedValueReader(unpacker, bytes.length);
             for (int i = 0; i < count; i++) {
-                fields.put(unpacker.unpackInt(), unpacker.unpackValue());
+                fields.put(unpacker.unpackInt(), values.read());
             }
             return new FieldReader(type, fields);
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
--- a/src/main/java/io/bilberrylane/policy/ColdStart.java
+++ b/src/main/java/io/bilberrylane/policy/ColdStart.java
@@ -4,8 +4,8 @@
  * Bounds the requests in service at a target that may be cold.
  *
  * <p>The allowance starts at the cold concurrency. After the announced warm-up it grows by one
- * after as many healthy completions as it is large. A burst of failures or a jump of the service time returns it to the
- * cold concurrency at once. Not thread-safe.
+ * after as many healthy completions as it is large. A burst of failures or a jump of the service
+ * time returns it to the cold concurrency at once. Not thread-safe.
  */
 public final class ColdStart {
     /** Failures in a row that count as a cold target. */
@@ -49,8 +49,7 @@
      * @param warmUpRequests healthy completions until the target is warm; 0 when not announced
      * @return a cold state
      */
-    public static ColdStart of(
-            final int slots, final int coldSlots, final int warmUpRequests) {
+    public static ColdStart of(final int slots, final int coldSlots, final int warmUpRequests) {
         return new ColdStart(slots, coldSlots, warmUpRequests);
     }
 
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -54,8 +54,7 @@
      * @param warmUpRequests healthy completions until the target is warm; 0 when not announced
      * @return a state with nothing in service
      */
-    public static GateAdmission of(
-            final int slots, final int coldSlots, final int warmUpRequests) {
+    public static GateAdmission of(final int slots, final int coldSlots, final int warmUpRequests) {
         return new GateAdmission(slots, coldSlots, warmUpRequests);
     }
 
--- /dev/null
+++ b/src/test/java/io/bilberrylane/base/ArchitectureTest.java
@@ -0,0 +1,124 @@
+package io.bilberrylane.base;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Holds the one-way arrows between packages and the marks that a pure package must not have. */
+final class ArchitectureTest {
+    private static final Path ROOT = Path.of("src/main/java/io/bilberrylane");
+    private static final Pattern USE = Pattern.compile("io\\.bilberrylane\\.([a-z]+)\\.[A-Z]");
+    private static final Pattern IMPURE =
+            Pattern.compile(
+                    "io\\.netty|System\\.(nanoTime|currentTimeMillis)|Math\\.random|new Thread"
+                            + "|ThreadLocalRandom|java\\.io\\.|java\\.net\\.|java\\.nio\\.file");
+    private static final Set<String> PURE = Set.of("catalogue", "policy", "membership", "outcome");
+
+    /** For each package, the packages that it may use. */
+    private static final Map<String, Set<String>> ARROWS =
+            Map.ofEntries(
+                    Map.entry("base", Set.of()),
+                    Map.entry("net", Set.of()),
+                    Map.entry("catalogue", Set.of("base")),
+                    Map.entry("policy", Set.of("base", "catalogue")),
+                    Map.entry("membership", Set.of("base")),
+                    Map.entry("outcome", Set.of("base")),
+                    Map.entry("peer", Set.of("base", "net", "policy", "membership", "outcome")),
+                    Map.entry("platform", Set.of("base", "net")),
+                    Map.entry(
+                            "http",
+                            Set.of("base", "net", "catalogue", "policy", "outcome", "peer")),
+                    Map.entry(
+                            "node",
+                            Set.of(
+                                    "base",
+                                    "net",
+                                    "catalogue",
+                                    "policy",
+                                    "membership",
+                                    "outcome",
+                                    "peer",
+                                    "platform",
+                                    "http")),
+                    Map.entry("ctl", Set.of("base", "net", "catalogue", "platform")),
+                    Map.entry("load", Set.of("base", "net")),
+                    Map.entry("standin", Set.of("base", "net", "platform", "http")),
+                    Map.entry(
+                            "cli",
+                            Set.of(
+                                    "base",
+                                    "net",
+                                    "catalogue",
+                                    "platform",
+                                    "node",
+                                    "ctl",
+                                    "load",
+                                    "standin")));
+
+    private static Map<String, List<Path>> sources() throws IOException {
+        final Map<String, List<Path>> sources = new HashMap<>();
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            files.filter(file -> file.toString().endsWith(".java"))
+                    .forEach(
+                            file ->
+                                    sources.computeIfAbsent(
+                                                    file.getParent().getFileName().toString(),
+                                                    name -> new ArrayList<>())
+                                            .add(file));
+        }
+        return sources;
+    }
+
+    @Test
+    void shouldUseOnlyAllowedPackagesWhenSourcesAreRead() throws IOException {
+        final Set<String> wrong = new HashSet<>();
+        for (final Map.Entry<String, List<Path>> room : sources().entrySet()) {
+            assertThat(ARROWS).containsKey(room.getKey());
+            for (final Path file : room.getValue()) {
+                final Matcher uses = USE.matcher(Files.readString(file));
+                while (uses.find()) {
+                    final String used = uses.group(1);
+                    if (!used.equals(room.getKey()) && !ARROWS.get(room.getKey()).contains(used)) {
+                        wrong.add(file + " uses " + used);
+                    }
+                }
+            }
+        }
+        assertThat(wrong).isEmpty();
+    }
+
+    @Test
+    void shouldNotTouchClocksOrNetworksWhenAPackageIsPure() throws IOException {
+        final Set<String> wrong = new HashSet<>();
+        for (final Map.Entry<String, List<Path>> room : sources().entrySet()) {
+            for (final Path file :
+                    PURE.contains(room.getKey()) ? room.getValue() : List.<Path>of()) {
+                final boolean parserOnly = file.endsWith("PlacedReader.java");
+                final Matcher impure = IMPURE.matcher(Files.readString(file));
+                if (impure.find() && !(parserOnly && impure.group().equals("java.io."))) {
+                    wrong.add(file + " has " + impure.group());
+                }
+            }
+        }
+        assertThat(wrong).isEmpty();
+    }
+
+    @Test
+    void shouldDescribeEveryPackageWhenSourcesAreRead() throws IOException {
+        for (final String room : sources().keySet()) {
+            assertThat(ROOT.resolve(room).resolve("package-info.java")).exists();
+        }
+    }
+}
--- a/src/test/java/io/bilberrylane/node/Fleet.java
+++ b/src/test/java/io/bilberrylane/node/Fleet.java
@@ -8,7 +8,6 @@
 import io.bilberrylane.standin.PlatformStandIn;
 import io.bilberrylane.standin.TargetSettings;
 import io.bilberrylane.standin.TargetStandIn;
-
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.ArrayList;
--- a/src/test/java/io/bilberrylane/node/NodePathTest.java
+++ b/src/test/java/io/bilberrylane/node/NodePathTest.java
@@ -7,15 +7,13 @@
 import io.bilberrylane.load.LoadRun;
 import io.bilberrylane.load.LoadSettings;
 import io.bilberrylane.load.Operation;
-
+import java.util.List;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 
-import java.util.List;
-
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 final class NodePathTest {
     private Fleet mFleet;
@@ -32,8 +30,12 @@
 
     private LoadReport play(final Operation.Kind kind, final double rate, final long uploadBytes) {
         final Operation operation =
-                new Operation(kind, "calendar", kind == Operation.Kind.LOOKUP ? "GET" : "POST",
-                        "/slots", 1);
+                new Operation(
+                        kind,
+                        "calendar",
+                        kind == Operation.Kind.LOOKUP ? "GET" : "POST",
+                        "/slots",
+                        1);
         return LoadRun.play(
                 mFleet.mTransport,
                 new LoadSettings(
--- /dev/null
+++ b/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
@@ -0,0 +1,169 @@
+package io.bilberrylane.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrylane.base.ErrorCode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+
+final class GateAdmissionTest {
+    private static final long MILLI = 1_000_000;
+
+    private static Ticket ticket(final String id, final int rank, final long deadlineMillis) {
+        return new Ticket(id, rank, deadlineMillis * MILLI);
+    }
+
+    @Group
+    class RandomRuns {
+        /** Plays arrivals, completions, failures, coldness and stops against the bounds. */
+        @Property(seed = "21", tries = 500)
+        void shouldNeverExceedTheAllowanceWhenAnythingHappens(@ForAll final long seed) {
+            final Random random = new Random(seed);
+            final int slots = 1 + random.nextInt(8);
+            final int cold = 1 + random.nextInt(slots);
+            final GateAdmission gate = GateAdmission.of(slots, cold, random.nextInt(20));
+            final List<String> inService = new ArrayList<>();
+            final Set<String> waiting = new HashSet<>();
+            long now = 0;
+            for (int step = 0; step < 400; step++) {
+                now += random.nextInt(3) * MILLI;
+                switch (random.nextInt(10)) {
+                    case 0, 1, 2, 3, 4 -> {
+                        final Ticket ticket =
+                                new Ticket("c" + step, random.nextInt(3), now + 5 * MILLI);
+                        final int before = inService.size();
+                        final int allowance = gate.load().allowance();
+                        switch (gate.offer(ticket, now)) {
+                            case AdmissionDecision.Admitted a -> {
+                                assertThat(before).isLessThan(allowance);
+                                inService.add(ticket.callId());
+                            }
+                            case AdmissionDecision.Queued q -> waiting.add(ticket.callId());
+                            case AdmissionDecision.Refused r ->
+                                    assertThat(r.code())
+                                            .isIn(ErrorCode.OVERLOADED, ErrorCode.LEAVING);
+                        }
+                    }
+                    case 5, 6, 7 -> {
+                        if (!inService.isEmpty()) {
+                            final String id = inService.remove(random.nextInt(inService.size()));
+                            final boolean healthy = random.nextInt(10) > 0;
+                            final long nanos = (random.nextInt(8) == 0 ? 50 : 3) * MILLI;
+                            apply(gate.release(id, healthy, nanos, now), inService, waiting);
+                        }
+                    }
+                    case 8 -> apply(gate.settle(now), inService, waiting);
+                    default -> {
+                        if (random.nextInt(20) == 0) {
+                            gate.stop().forEach(t -> waiting.remove(t.callId()));
+                            gate.resume();
+                        } else if (random.nextInt(20) == 0) {
+                            gate.turnCold();
+                        }
+                    }
+                }
+                assertThat(gate.load().inFlight()).isEqualTo(inService.size());
+                assertThat(gate.load().queued()).isEqualTo(waiting.size());
+                assertThat(gate.load().allowance()).isBetween(cold, slots);
+                assertThat(inService.size()).isLessThanOrEqualTo(slots);
+            }
+        }
+
+        private void apply(
+                final Settled settled, final List<String> inService, final Set<String> waiting) {
+            settled.admitted()
+                    .forEach(
+                            ticket -> {
+                                assertThat(waiting.remove(ticket.callId())).isTrue();
+                                inService.add(ticket.callId());
+                            });
+            settled.expired()
+                    .forEach(ticket -> assertThat(waiting.remove(ticket.callId())).isTrue());
+        }
+    }
+
+    @Group
+    class Queue {
+        private final GateAdmission mGate = GateAdmission.of(1, 1, 0);
+
+        @Example
+        void shouldServeTheEarlierClassFirstWhenBothWait() {
+            mGate.offer(ticket("first", 0, 100), 0);
+            mGate.offer(ticket("batch", 2, 100), 0);
+            mGate.offer(ticket("interactive", 0, 100), 0);
+            assertThat(mGate.release("first", true, MILLI, 0).admitted())
+                    .extracting(Ticket::callId)
+                    .containsExactly("interactive");
+        }
+
+        @Example
+        void shouldServeTheNewestFirstWhenTheQueueIsLong() {
+            mGate.offer(ticket("first", 0, 100), 0);
+            for (int i = 0; i < 4; i++) {
+                mGate.offer(ticket("w" + i, 0, 100), 0);
+            }
+            assertThat(mGate.release("first", true, MILLI, 0).admitted())
+                    .extracting(Ticket::callId)
+                    .containsExactly("w3");
+        }
+
+        @Example
+        void shouldExpireWhenTheQueueTimeHasPassed() {
+            mGate.offer(ticket("first", 0, 100), 0);
+            mGate.offer(ticket("late", 0, 10), 0);
+            assertThat(mGate.settle(11 * MILLI).expired())
+                    .extracting(Ticket::callId)
+                    .containsExactly("late");
+        }
+    }
+
+    @Group
+    class Cold {
+        @Example
+        void shouldHoldTheColdConcurrencyWhenTheWarmUpIsNotOver() {
+            final ColdStart cold = ColdStart.of(6, 2, 10);
+            for (int i = 0; i < 10; i++) {
+                cold.complete(true, MILLI);
+            }
+            assertThat(cold.allowance()).isEqualTo(2);
+            cold.complete(true, MILLI);
+            cold.complete(true, MILLI);
+            assertThat(cold.allowance()).isEqualTo(3);
+        }
+
+        @Example
+        void shouldFallWhenServiceTimesJump() {
+            final ColdStart cold = warm();
+            for (int i = 0; i < ColdStart.SLOW_BURST; i++) {
+                cold.complete(true, 10 * MILLI);
+            }
+            assertThat(cold.allowance()).isEqualTo(1);
+            assertThat(cold.falls()).isEqualTo(1);
+        }
+
+        @Example
+        void shouldFallWhenFailuresComeInARow() {
+            final ColdStart cold = warm();
+            for (int i = 0; i < ColdStart.FAILURE_BURST; i++) {
+                cold.complete(false, MILLI);
+            }
+            assertThat(cold.allowance()).isEqualTo(1);
+        }
+
+        private ColdStart warm() {
+            final ColdStart cold = ColdStart.of(6, 1, 0);
+            for (int i = 0; i < 100; i++) {
+                cold.complete(true, MILLI);
+            }
+            assertThat(cold.allowance()).isEqualTo(6);
+            return cold;
+        }
+    }
+}
