Run each idempotency key at most once by a claim in the platform

Change: a claim by conditional create names the gate before the target sees a byte; it has no lease, so a paused holder that wakes finds nothing changed. The answer is kept beside the claim for resends after the holder is gone. A claim of our own that the table does not know is renewed to a new version before it is used, which makes a late delete fail.

--- a/src/main/java/io/bilberrylane/base/ErrorCode.java
+++ b/src/main/java/io/bilberrylane/base/ErrorCode.java
@@ -55,7 +55,11 @@
     /** The platform no longer holds the versions that a watch asked for. */
     PLATFORM_GONE(410, 3),
     /** An invariant of the program does not hold. */
-    INVARIANT_VIOLATED(500, 70);
+    INVARIANT_VIOLATED(500, 70),
+    /** Another gate holds the claim for the idempotency key. */
+    CLAIM_HELD(409, 1),
+    /** A run of this idempotency key may have happened and its answer is not known. */
+    KEY_OUTCOME_UNKNOWN(409, 1);
 
     private final int mHttpStatus;
     private final int mExitStatus;
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/ClaimResult.java
@@ -0,0 +1,26 @@
+package io.bilberrylane.node;
+
+import java.util.Objects;
+
+/** What the platform said to a claim for an idempotency key. */
+sealed interface ClaimResult {
+    /** The key is ours; no other gate runs it. */
+    record Granted(long version) implements ClaimResult {}
+
+    /** Another gate holds the key. */
+    record Held(String host, long incarnation) implements ClaimResult {
+        public Held {
+            Objects.requireNonNull(host, "host is null");
+        }
+    }
+
+    /** The key ran elsewhere and its answer is recorded. */
+    record Answered(String fingerprint, KeptAnswer answer) implements ClaimResult {
+        public Answered {
+            Objects.requireNonNull(answer, "answer is null");
+        }
+    }
+
+    /** The platform did not say; nothing may run. */
+    record Unavailable() implements ClaimResult {}
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/ClaimStore.java
@@ -0,0 +1,180 @@
+package io.bilberrylane.node;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.hash.Hashing;
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.platform.ObjectStore;
+import io.bilberrylane.platform.StoredObject;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/**
+ * Records in the platform which gate runs an idempotency key: a conditional create before the run.
+ *
+ * <p>A claim has no lease. It names its holder until it is deleted, so that a paused holder that
+ * wakes finds nothing changed, and no other gate ever runs the key.
+ */
+final class ClaimStore {
+    /** The kind of claims. */
+    static final String KIND = "claims";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_TRIES = 4;
+
+    private final Identity mIdentity;
+    private final ObjectStore mStore;
+
+    ClaimStore(final Identity identity, final ObjectStore store) {
+        mIdentity = identity;
+        mStore = store;
+    }
+
+    static String nameOf(final String key) {
+        return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+    }
+
+    /** Returns whether a holder is this host, in this or an earlier incarnation. */
+    boolean isOwnHost(final String host) {
+        return host.equals(mIdentity.host());
+    }
+
+    // -- claim
+
+    CompletableFuture<ClaimResult> claim(final String key, final String fingerprint) {
+        return create(key, fingerprint, MAX_TRIES);
+    }
+
+    private CompletableFuture<ClaimResult> create(
+            final String key, final String fingerprint, final int triesLeft) {
+        if (triesLeft == 0) {
+            return CompletableFuture.completedFuture(new ClaimResult.Unavailable());
+        }
+        return mStore.create(KIND, nameOf(key), spec(fingerprint))
+                .handle(
+                        (object, failure) -> {
+                            if (failure == null) {
+                                return granted(object);
+                            }
+                            return mayBeRecorded(failure)
+                                    ? examine(key, fingerprint, triesLeft - 1)
+                                    : unavailable();
+                        })
+                .thenCompose(result -> result);
+    }
+
+    /** Finds out who holds the key after a create that did not succeed for certain. */
+    private CompletableFuture<ClaimResult> examine(
+            final String key, final String fingerprint, final int triesLeft) {
+        return mStore.get(KIND, nameOf(key))
+                .handle(
+                        (object, failure) -> {
+                            if (failure == null) {
+                                return judge(key, fingerprint, object, triesLeft);
+                            }
+                            return code(failure) == ErrorCode.PLATFORM_NOT_FOUND
+                                    ? create(key, fingerprint, triesLeft)
+                                    : unavailable();
+                        })
+                .thenCompose(result -> result);
+    }
+
+    private CompletableFuture<ClaimResult> judge(
+            final String key,
+            final String fingerprint,
+            final StoredObject object,
+            final int triesLeft) {
+        final String holder = object.spec().path("holder").asText();
+        final long incarnation = object.spec().path("incarnation").asLong();
+        if (object.spec().has("answer")) {
+            return CompletableFuture.completedFuture(
+                    new ClaimResult.Answered(
+                            object.spec().path("fingerprint").asText(),
+                            KeptAnswer.read(object.spec().path("answer"))));
+        }
+        if (!holder.equals(mIdentity.host()) || incarnation != mIdentity.incarnation()) {
+            return CompletableFuture.completedFuture(new ClaimResult.Held(holder, incarnation));
+        }
+        return renew(key, fingerprint, object, triesLeft);
+    }
+
+    /**
+     * Takes over a claim of this very process that its table does not know as run. The new version
+     * makes a delete of the old one that is still under way fail.
+     */
+    private CompletableFuture<ClaimResult> renew(
+            final String key,
+            final String fingerprint,
+            final StoredObject object,
+            final int triesLeft) {
+        if (triesLeft == 0) {
+            return unavailable();
+        }
+        return mStore.update(KIND, nameOf(key), object.version(), spec(fingerprint))
+                .handle(
+                        (updated, failure) ->
+                                failure == null
+                                        ? granted(updated)
+                                        : examine(key, fingerprint, triesLeft - 1))
+                .thenCompose(result -> result);
+    }
+
+    // -- end of a claim
+
+    /** Records the answer of a finished run; completes with the claim's new version, if any. */
+    CompletableFuture<Optional<Long>> recordAnswer(
+            final String key,
+            final long version,
+            final String fingerprint,
+            final KeptAnswer answer) {
+        final ObjectNode spec = spec(fingerprint);
+        spec.set("answer", answer.toJson());
+        return mStore.update(KIND, nameOf(key), version, spec)
+                .handle(
+                        (object, failure) ->
+                                failure == null ? Optional.of(object.version()) : Optional.empty());
+    }
+
+    /** Deletes a claim; completes with whether it is certainly gone or no longer this version. */
+    CompletableFuture<Boolean> release(final String key, final long version) {
+        return mStore.delete(KIND, nameOf(key), version)
+                .handle(
+                        (done, failure) ->
+                                failure == null
+                                        || code(failure) == ErrorCode.PLATFORM_NOT_FOUND
+                                        || code(failure) == ErrorCode.PLATFORM_CONFLICT);
+    }
+
+    // -- format
+
+    private ObjectNode spec(final String fingerprint) {
+        return MAPPER.createObjectNode()
+                .put("holder", mIdentity.host())
+                .put("incarnation", mIdentity.incarnation())
+                .put("fingerprint", fingerprint);
+    }
+
+    private static CompletableFuture<ClaimResult> granted(final StoredObject object) {
+        return CompletableFuture.completedFuture(new ClaimResult.Granted(object.version()));
+    }
+
+    private static CompletableFuture<ClaimResult> unavailable() {
+        return CompletableFuture.completedFuture(new ClaimResult.Unavailable());
+    }
+
+    private static boolean mayBeRecorded(final Throwable failure) {
+        return code(failure) != ErrorCode.PLATFORM_THROTTLED;
+    }
+
+    private static ErrorCode code(final Throwable failure) {
+        final Throwable cause =
+                failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof BilberrylaneException known
+                ? known.code()
+                : ErrorCode.PLATFORM_UNAVAILABLE;
+    }
+}
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -18,6 +18,8 @@
 import io.bilberrylane.peer.BodySink;
 import io.bilberrylane.peer.CallHead;
 import io.bilberrylane.peer.CallOpener;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.platform.ObjectStore;
 import io.bilberrylane.policy.AdmissionDecision;
 import io.bilberrylane.policy.GateAdmission;
 import io.bilberrylane.policy.Settled;
@@ -45,6 +47,7 @@
     private final CallTable mCalls =
             CallTable.of(TimeUnit.SECONDS.toNanos(OUTCOME_RETENTION_SECONDS));
     private final Map<String, GateCall> mWaiting = new HashMap<>();
+    private final KeyDesk mKeys;
     private volatile GateTarget mTarget;
     private volatile boolean mLeaving;
     private volatile long mLeaseEndNanos;
@@ -52,7 +55,9 @@
     private Gate(
             final Transport transport,
             final NodeSettings settings,
-            final Supplier<Catalogue> catalogue) {
+            final Supplier<Catalogue> catalogue,
+            final KeyDesk keys) {
+        mKeys = keys;
         mTransport = transport;
         mSettings = settings;
         mCatalogue = catalogue;
@@ -64,13 +69,18 @@
      * @param transport threads and channel types
      * @param settings the node's settings
      * @param catalogue the catalogue in force
+     * @param identity who this process is
+     * @param store where claims for idempotency keys are recorded
      * @return the gate
      */
     public static Gate of(
             final Transport transport,
             final NodeSettings settings,
-            final Supplier<Catalogue> catalogue) {
-        return new Gate(transport, settings, catalogue);
+            final Supplier<Catalogue> catalogue,
+            final Identity identity,
+            final ObjectStore store) {
+        return new Gate(
+                transport, settings, catalogue, new KeyDesk(new ClaimStore(identity, store)));
     }
 
     // -- target
@@ -216,6 +226,37 @@
         return mOutcomeLock.get(() -> mCalls.settle(callId, System.nanoTime()));
     }
 
+    KeyDesk keys() {
+        return mKeys;
+    }
+
+    long keyWindowNanos(final String service) {
+        return TimeUnit.SECONDS.toNanos(
+                mCatalogue
+                        .get()
+                        .service(service)
+                        .map(ServiceEntry::resendWindowSeconds)
+                        .orElse(OUTCOME_RETENTION_SECONDS));
+    }
+
+    /**
+     * Forgets idempotency keys whose resend window has passed.
+     *
+     * @param nowNanos the monotonic clock
+     */
+    public void expireKeys(final long nowNanos) {
+        mKeys.expire(nowNanos);
+    }
+
+    /**
+     * Returns how many idempotency keys the gate remembers.
+     *
+     * @return a count
+     */
+    public int rememberedKeys() {
+        return mKeys.size();
+    }
+
     boolean reserve(final String callId) {
         return mOutcomeLock.get(() -> mCalls.reserve(callId, System.nanoTime()));
     }
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -15,6 +15,7 @@
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.policy.AdmissionDecision;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -25,7 +26,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -33,13 +36,15 @@
  * One call at the gate, from its reservation to its end. All state belongs to one event loop; every
  * event from elsewhere is moved there.
  */
-final class GateCall implements BodySink, TargetListener {
+final class GateCall implements BodySink, TargetListener, KeyedCall {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** An idle connection unused for longer is not trusted with a call that must run once. */
     private static final long TRUSTED_IDLE_MILLIS = 500;
 
     private enum State {
+        DECIDING,
+        REPLAYING,
         WAITING,
         CONNECTING,
         STARTED,
@@ -52,7 +57,9 @@
     private final AnswerSink mSink;
     private final long mDeadlineNanos;
     private final Deque<ByteBuf> mEarlyBody = new ArrayDeque<>();
-    private State mState = State.WAITING;
+    private final Optional<KeyedRun> mKey;
+    private State mState = State.DECIDING;
+    private KeptAnswer mReplay;
     private GateTarget mTarget;
     private TargetConnection mConnection;
     private ScheduledFuture<?> mDeadline;
@@ -69,6 +76,10 @@
         mHead = head;
         mSink = sink;
         mBodyEnded = !head.hasBody();
+        mKey =
+                head.idempotent() || head.key().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(new KeyedRun(gate.keys(), head));
         mDeadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis());
     }
 
@@ -83,12 +94,21 @@
     // -- admission
 
     void start() {
-        final Optional<GateTarget> target = mGate.targetFor(mHead.service());
         if (!mGate.reserve(mHead.callId())) {
             mState = State.OVER;
             mSink.onRefused(Refusal.of(ErrorCode.CANCELLED), mGate.load());
             return;
         }
+        if (mKey.isPresent()) {
+            mKey.get().begin(mGate.keyWindowNanos(mHead.service()), this);
+        } else {
+            enter();
+        }
+    }
+
+    private void enter() {
+        mState = State.WAITING;
+        final Optional<GateTarget> target = mGate.targetFor(mHead.service());
         if (target.isEmpty()) {
             refuseNow(ErrorCode.NO_TARGET);
             return;
@@ -112,14 +132,92 @@
     }
 
     private void refuseNow(final ErrorCode code) {
+        refuseNow(code, "");
+    }
+
+    private void refuseNow(final ErrorCode code, final String holder) {
         if (mState == State.OVER) {
             return;
         }
         over();
         mGate.markRefused(mHead.callId());
+        mKey.ifPresent(KeyedRun::release);
         if (!mCallerGone) {
-            mSink.onRefused(Refusal.of(code), mGate.load());
+            mSink.onRefused(new Refusal(code, 0, holder), mGate.load());
+        }
+    }
+
+    // -- idempotency key
+
+    @Override
+    public void onKeyHeld() {
+        onLoop(
+                () -> {
+                    if (mState == State.OVER) {
+                        mKey.ifPresent(KeyedRun::release);
+                    } else {
+                        enter();
+                    }
+                });
+    }
+
+    @Override
+    public void onKeyAnswered(final KeptAnswer answer) {
+        onLoop(
+                () -> {
+                    if (mState == State.OVER) {
+                        return;
+                    }
+                    mGate.markRefused(mHead.callId());
+                    mReplay = answer;
+                    mState = State.REPLAYING;
+                    if (mHead.hasBody()) {
+                        mSink.onAdmitted(mGate.load());
+                        final List<ByteBuf> early = List.copyOf(mEarlyBody);
+                        mEarlyBody.clear();
+                        early.forEach(this::skip);
+                    }
+                    replay();
+                });
+    }
+
+    @Override
+    public void onKeyRefused(final ErrorCode code, final String holder) {
+        onLoop(() -> refuseNow(code, holder));
+    }
+
+    @Override
+    public void onKeyUnknown() {
+        onLoop(
+                () -> {
+                    if (mState != State.OVER) {
+                        mGate.markRefused(mHead.callId());
+                        over();
+                        mSink.onFailed(ErrorCode.KEY_OUTCOME_UNKNOWN, CallPhase.STARTED);
+                    }
+                });
+    }
+
+    private void skip(final ByteBuf bytes) {
+        final int length = bytes.readableBytes();
+        bytes.release();
+        mSink.onCredit(length);
+    }
+
+    private void replay() {
+        if (mState != State.REPLAYING || !mBodyEnded) {
+            return;
+        }
+        over();
+        if (!mKey.orElseThrow().hasDigest(mReplay.requestDigest())) {
+            mSink.onFailed(ErrorCode.KEY_REUSED, CallPhase.NEVER);
+            return;
         }
+        final List<HeaderField> headers = new ArrayList<>(mReplay.head().headers());
+        headers.add(new HeaderField(Headers.REPLAYED, "true"));
+        mSink.onHead(new AnswerHead(mReplay.head().status(), headers));
+        mSink.onData(Unpooled.wrappedBuffer(mReplay.bodyBytes()));
+        mSink.onEnd(mGate.load());
     }
 
     // -- start
@@ -155,7 +253,12 @@
 
     private void run(final TargetConnection connection) {
         final boolean late = System.nanoTime() - mDeadlineNanos >= 0;
-        if (mCallerGone || late || !mGate.markStarted(mHead.callId())) {
+        final boolean mayStart =
+                !mCallerGone
+                        && !late
+                        && mGate.markStarted(mHead.callId())
+                        && mKey.map(KeyedRun::start).orElse(true);
+        if (!mayStart) {
             connection.abort();
             giveSlotBack(true, -1);
             refuseNow(late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.CANCELLED);
@@ -205,9 +308,11 @@
     public void data(final ByteBuf bytes) {
         onLoop(
                 () -> {
+                    mKey.ifPresent(key -> key.addBody(bytes));
                     switch (mState) {
                         case STARTED -> mConnection.sendBody(bytes);
-                        case WAITING, CONNECTING -> mEarlyBody.add(bytes);
+                        case DECIDING, WAITING, CONNECTING -> mEarlyBody.add(bytes);
+                        case REPLAYING -> skip(bytes);
                         case OVER -> bytes.release();
                     }
                 });
@@ -221,6 +326,7 @@
                     if (mState == State.STARTED) {
                         mConnection.endBody();
                     }
+                    replay();
                 });
     }
 
@@ -253,6 +359,8 @@
                     readAnswer();
                 }
             }
+            case DECIDING -> refuseNow(ErrorCode.CANCELLED);
+            case REPLAYING -> over();
             case CONNECTING, OVER -> {}
         }
     }
@@ -279,8 +387,10 @@
             return;
         }
         mStatus = response.status().code();
+        final AnswerHead head = new AnswerHead(mStatus, Headers.endToEnd(response.headers()));
+        mKey.ifPresent(key -> key.onAnswerHead(head));
         if (!mCallerGone) {
-            mSink.onHead(new AnswerHead(mStatus, Headers.endToEnd(response.headers())));
+            mSink.onHead(head);
         }
     }
 
@@ -288,6 +398,7 @@
     public void onContent(final ByteBuf bytes) {
         onLoop(
                 () -> {
+                    mKey.ifPresent(key -> key.onAnswerData(bytes));
                     if (mState != State.STARTED || mCallerGone) {
                         bytes.release();
                         mReading = false;
@@ -317,6 +428,7 @@
                     }
                     over();
                     mGate.markFinished(mHead.callId());
+                    mKey.ifPresent(KeyedRun::finish);
                     giveSlotBack(mStatus < 500, System.nanoTime() - mStartedNanos);
                     if (!mCallerGone) {
                         mSink.onEnd(mGate.load());
@@ -332,6 +444,7 @@
                         return;
                     }
                     over();
+                    mKey.ifPresent(KeyedRun::breakOff);
                     giveSlotBack(false, System.nanoTime() - mStartedNanos);
                     if (!mCallerGone) {
                         mSink.onFailed(ErrorCode.TARGET_FAILED, CallPhase.STARTED);
@@ -359,6 +472,7 @@
 
     private void stop(final boolean healthy) {
         over();
+        mKey.ifPresent(KeyedRun::breakOff);
         mConnection.abort();
         giveSlotBack(healthy, healthy ? -1 : System.nanoTime() - mStartedNanos);
     }
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/KeptAnswer.java
@@ -0,0 +1,65 @@
+package io.bilberrylane.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberrylane.peer.AnswerHead;
+import io.bilberrylane.peer.HeaderField;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * The answer of a finished run, kept for resends of its key.
+ *
+ * @param head status and headers
+ * @param body the body in Base64
+ * @param requestDigest digest of the request's body
+ */
+record KeptAnswer(AnswerHead head, String body, String requestDigest) {
+    /** A longer answer is not kept. */
+    static final int MAX_BODY_BYTES = 32 * 1024;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    KeptAnswer {
+        Objects.requireNonNull(head, "head is null");
+        Objects.requireNonNull(body, "body is null");
+        Objects.requireNonNull(requestDigest, "requestDigest is null");
+    }
+
+    static KeptAnswer of(final AnswerHead head, final byte[] body, final String requestDigest) {
+        return new KeptAnswer(head, Base64.getEncoder().encodeToString(body), requestDigest);
+    }
+
+    byte[] bodyBytes() {
+        return Base64.getDecoder().decode(body);
+    }
+
+    // -- format
+
+    ObjectNode toJson() {
+        final ObjectNode root = MAPPER.createObjectNode();
+        root.put("status", head.status());
+        root.put("body", body);
+        root.put("requestDigest", requestDigest);
+        final ArrayNode headers = root.putArray("headers");
+        for (final HeaderField field : head.headers()) {
+            headers.addObject().put("name", field.name()).put("value", field.value());
+        }
+        return root;
+    }
+
+    static KeptAnswer read(final JsonNode root) {
+        final List<HeaderField> headers = new ArrayList<>();
+        for (final JsonNode field : root.path("headers")) {
+            headers.add(new HeaderField(field.path("name").asText(), field.path("value").asText()));
+        }
+        return new KeptAnswer(
+                new AnswerHead(root.path("status").asInt(), headers),
+                root.path("body").asText(),
+                root.path("requestDigest").asText());
+    }
+}
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -67,7 +67,14 @@
     private void open() {
         mLinks = mCloser.add(PeerLinks.of(mTransport, mIdentity));
         mConfiguration = new ConfigurationService(mLinks, this::onRevision);
-        mGate = mCloser.add(Gate.of(mTransport, mSettings, mConfiguration::catalogue));
+        mGate =
+                mCloser.add(
+                        Gate.of(
+                                mTransport,
+                                mSettings,
+                                mConfiguration::catalogue,
+                                mIdentity,
+                                mPlatform));
         mPeerServer =
                 mCloser.add(
                         PeerServer.bind(
@@ -153,6 +160,10 @@
                 "bilberrylane.gate.allowance",
                 "Requests that may be in service at the target",
                 () -> mGate.load().allowance());
+        mMetrics.gauge(
+                "bilberrylane.gate.keys",
+                "Idempotency keys remembered at the gate",
+                mGate::rememberedKeys);
         mMetrics.gauge(
                 "bilberrylane.platform.reads",
                 "Reads of the platform since the start",
@@ -184,6 +195,7 @@
     }
 
     private void checkLease() {
+        mGate.expireKeys(System.nanoTime());
         if (mGate.expireTarget(System.nanoTime())) {
             mMembership.tellTarget(Optional.empty());
         }
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -41,6 +41,7 @@
     private boolean mBodySent;
     private boolean mHeadSeen;
     private boolean mMayHaveRun;
+    private boolean mKeyCertain;
     private boolean mOver;
 
     RoutedCall(
@@ -74,7 +75,10 @@
             refuse(Refusal.of(ErrorCode.DEADLINE_EXCEEDED));
             return;
         }
-        final Optional<TargetRef> target = mRouter.choose(mHead.service(), mTried);
+        final Optional<TargetRef> target =
+                otherwise.holder().isEmpty()
+                        ? mRouter.choose(mHead.service(), mTried)
+                        : mRouter.holder(otherwise.holder());
         if (target.isEmpty()) {
             refuse(otherwise);
             return;
@@ -91,8 +95,10 @@
 
     /** Ends the call without a run; an earlier attempt that may have run makes that untrue. */
     private void refuse(final Refusal refusal) {
-        if (mMayHaveRun) {
-            fail(refusal.code(), CallPhase.STARTED);
+        final boolean earlierSendingMayHaveRun = isKeyed() && !mKeyCertain;
+        if (mMayHaveRun || earlierSendingMayHaveRun) {
+            final boolean held = refusal.code() == ErrorCode.CLAIM_HELD;
+            fail(held ? ErrorCode.KEY_OUTCOME_UNKNOWN : refusal.code(), CallPhase.STARTED);
             return;
         }
         if (over()) {
@@ -108,6 +114,10 @@
         }
     }
 
+    private boolean isKeyed() {
+        return !mHead.idempotent() && !mHead.key().isEmpty();
+    }
+
     private boolean over() {
         if (mOver) {
             return false;
@@ -279,8 +289,14 @@
         if (refusal.code() == ErrorCode.OVERLOADED || refusal.code() == ErrorCode.QUEUE_TIMEOUT) {
             mOverloads++;
         }
+        mKeyCertain =
+                switch (refusal.code()) {
+                    case CLAIM_UNAVAILABLE, CLAIM_HELD, CANCELLED, KEY_IN_PROGRESS -> false;
+                    default -> true;
+                };
         final boolean mayHelp =
                 switch (refusal.code()) {
+                    case CLAIM_HELD -> !mTried.contains(refusal.holder());
                     case LEAVING, NO_TARGET, TARGET_UNREACHABLE, CANCELLED -> true;
                     case OVERLOADED, QUEUE_TIMEOUT -> mOverloads < MAX_OVERLOAD_ATTEMPTS;
                     default -> false;
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -5,6 +5,7 @@
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.ServiceEntry;
 import io.bilberrylane.http.CallRouter;
+import io.bilberrylane.membership.MemberStatus;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.AnswerSink;
 import io.bilberrylane.peer.BodySink;
@@ -107,6 +108,21 @@
                                 .findFirst());
     }
 
+    /** Returns the gate of a host that holds an idempotency key, whether or not it admits work. */
+    Optional<TargetRef> holder(final String host) {
+        final Optional<TargetRef> found =
+                mMembership
+                        .member(host)
+                        .filter(member -> member.status() != MemberStatus.DEAD)
+                        .map(
+                                member ->
+                                        new TargetRef(
+                                                new Candidate(host, member.dataCentre(), 1),
+                                                Addresses.parse(member.peerAddress())));
+        found.ifPresent(target -> mLock.run(() -> mLoads.sent(host)));
+        return found;
+    }
+
     CallOpener opener(final TargetRef target) {
         return target.candidate().host().equals(mIdentity.host())
                 ? mGate
--- a/src/main/java/io/bilberrylane/standin/TargetService.java
+++ b/src/main/java/io/bilberrylane/standin/TargetService.java
@@ -124,6 +124,9 @@
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(mStatus));
         response.headers().set(NONCE, nonce);
         response.headers().set(BODY_BYTES, mRun.bodyBytes());
+        if (mStatus != 200) {
+            response.headers().set(Headers.OUTCOME, "not-run");
+        }
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         final String callId = mRequest.headers().get(Headers.CALL_ID);
         if (callId != null && nonce.equals(mRequest.headers().get(NONCE, ""))) {
--- a/src/main/java/io/bilberrylane/standin/TargetState.java
+++ b/src/main/java/io/bilberrylane/standin/TargetState.java
@@ -53,7 +53,6 @@
 
     /** Returns the status of a request that begins; 200 when it is served. */
     synchronized int begin(final RunRecord run) {
-        mRuns.add(run);
         mInService++;
         mPeak = Math.max(mPeak, mInService);
         if (mInService > mSettings.slots()) {
@@ -68,7 +67,11 @@
         if (System.nanoTime() - mFallenUntilNanos < 0 && mFallenUntilNanos != 0) {
             return 503;
         }
-        return mFaults.failFast() ? 500 : 200;
+        if (mFaults.failFast()) {
+            return 500;
+        }
+        mRuns.add(run);
+        return 200;
     }
 
     synchronized void end(final RunRecord run, final boolean finished) {
--- /dev/null
+++ b/src/test/java/io/bilberrylane/node/FaultyStore.java
@@ -0,0 +1,159 @@
+package io.bilberrylane.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.platform.ObjectList;
+import io.bilberrylane.platform.ObjectStore;
+import io.bilberrylane.platform.StoredObject;
+import io.bilberrylane.platform.WatchListener;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * An object store whose calls take effect in any order, now or much later, and whose answers may be
+ * lost before or after the effect. Single-threaded.
+ */
+final class FaultyStore implements ObjectStore {
+    private record Call<T>(Supplier<T> effect, CompletableFuture<T> answer) {
+        private void complete(final boolean answered) {
+            try {
+                final T value = effect.get();
+                if (answered) {
+                    answer.complete(value);
+                } else {
+                    fail();
+                }
+            } catch (BilberrylaneException e) {
+                answer.completeExceptionally(e);
+            }
+        }
+
+        private void fail() {
+            answer.completeExceptionally(
+                    new BilberrylaneException(ErrorCode.PLATFORM_UNAVAILABLE, "no answer"));
+        }
+    }
+
+    private final Random mRandom;
+    private final Map<String, StoredObject> mObjects = new HashMap<>();
+    private final List<Call<?>> mCalls = new ArrayList<>();
+    private final List<Call<?>> mLate = new ArrayList<>();
+    private final double mFaults;
+    private boolean mDown;
+    private long mVersion;
+
+    FaultyStore(final Random random, final double faults) {
+        mRandom = random;
+        mFaults = faults;
+    }
+
+    void setDown(final boolean down) {
+        mDown = down;
+    }
+
+    boolean isIdle() {
+        return mCalls.isEmpty();
+    }
+
+    /** Lets one waiting call, or one that was given up long ago, take effect. */
+    void step() {
+        if (!mLate.isEmpty() && mRandom.nextInt(4) == 0) {
+            mLate.remove(mRandom.nextInt(mLate.size())).complete(true);
+        }
+        if (mCalls.isEmpty()) {
+            return;
+        }
+        final Call<?> call = mCalls.remove(mRandom.nextInt(mCalls.size()));
+        if (mDown || mRandom.nextDouble() < mFaults / 2) {
+            if (mRandom.nextBoolean()) {
+                mLate.add(call);
+            }
+            call.fail();
+        } else {
+            call.complete(mRandom.nextDouble() >= mFaults / 2);
+        }
+    }
+
+    private <T> CompletableFuture<T> submit(final Supplier<T> effect) {
+        final Call<T> call = new Call<>(effect, new CompletableFuture<>());
+        mCalls.add(call);
+        return call.answer();
+    }
+
+    // -- calls
+
+    @Override
+    public CompletableFuture<StoredObject> get(final String kind, final String name) {
+        return submit(() -> find(name));
+    }
+
+    @Override
+    public CompletableFuture<ObjectList> list(final String kind) {
+        return submit(() -> new ObjectList(mVersion, List.copyOf(mObjects.values())));
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> create(
+            final String kind, final String name, final JsonNode spec) {
+        return submit(
+                () -> {
+                    if (mObjects.containsKey(name)) {
+                        throw new BilberrylaneException(ErrorCode.PLATFORM_CONFLICT, name);
+                    }
+                    return put(kind, name, spec);
+                });
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> update(
+            final String kind, final String name, final long version, final JsonNode spec) {
+        return submit(
+                () -> {
+                    check(find(name), version);
+                    return put(kind, name, spec);
+                });
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(
+            final String kind, final String name, final long version) {
+        return submit(
+                () -> {
+                    check(find(name), version);
+                    mObjects.remove(name);
+                    return null;
+                });
+    }
+
+    @Override
+    public AutoCloseable watch(
+            final String kind, final long version, final WatchListener listener) {
+        throw new UnsupportedOperationException("no watches here");
+    }
+
+    private StoredObject find(final String name) {
+        final StoredObject object = mObjects.get(name);
+        if (object == null) {
+            throw new BilberrylaneException(ErrorCode.PLATFORM_NOT_FOUND, name);
+        }
+        return object;
+    }
+
+    private static void check(final StoredObject object, final long version) {
+        if (object.version() != version) {
+            throw new BilberrylaneException(ErrorCode.PLATFORM_CONFLICT, object.name());
+        }
+    }
+
+    private StoredObject put(final String kind, final String name, final JsonNode spec) {
+        final StoredObject object = new StoredObject(kind, name, ++mVersion, spec);
+        mObjects.put(name, object);
+        return object;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/bilberrylane/node/KeyedCallsTest.java
@@ -0,0 +1,148 @@
+package io.bilberrylane.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrylane.standin.PlatformFaults;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+
+/** Sends idempotency keys through real nodes on loopback while parts fail. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+final class KeyedCallsTest {
+    private static final AtomicInteger KEYS = new AtomicInteger();
+
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private Fleet mFleet;
+
+    @BeforeAll
+    void start() {
+        mFleet = Fleet.of(3, 2_000);
+    }
+
+    @AfterEach
+    void heal() {
+        mFleet.mPlatform.setFaults(PlatformFaults.NONE);
+    }
+
+    @AfterAll
+    void stop() {
+        mFleet.close();
+    }
+
+    private static String newKey() {
+        return "k" + KEYS.incrementAndGet();
+    }
+
+    private HttpRequest request(final int node, final String key, final String body) {
+        final InetSocketAddress address = mFleet.mNodes.get(node).callerAddress();
+        return HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + address.getPort() + "/bookings"))
+                .version(HttpClient.Version.HTTP_1_1)
+                .header("Bilberrylane-Service", "calendar")
+                .header("Idempotency-Key", key)
+                .header("X-Nonce", "n" + key)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private HttpResponse<String> send(final int node, final String key, final String body)
+            throws IOException, InterruptedException {
+        return mClient.send(request(node, key, body), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private long runs(final String key) {
+        return mFleet.mTargets.stream()
+                .mapToLong(
+                        target -> target.record().split("\"key\":\"" + key + "\"", -1).length - 1L)
+                .sum();
+    }
+
+    private static String outcome(final HttpResponse<String> answer) {
+        return answer.headers().firstValue("Bilberrylane-Outcome").orElse("");
+    }
+
+    @Test
+    void shouldReplayTheAnswerWhenAKeyIsSentAgainThroughAnyNode() throws Exception {
+        final String key = newKey();
+        final HttpResponse<String> first = send(0, key, "body");
+        assertThat(first.statusCode()).isEqualTo(200);
+        for (int node = 0; node < 3; node++) {
+            final HttpResponse<String> again = send(node, key, "body");
+            assertThat(again.statusCode()).isEqualTo(200);
+            assertThat(again.body()).isEqualTo(first.body());
+            assertThat(again.headers().firstValue("Bilberrylane-Replayed")).contains("true");
+        }
+        assertThat(runs(key)).isEqualTo(1);
+    }
+
+    @Test
+    void shouldRunOnceWhenAKeyIsSentThroughAllNodesAtTheSameMoment() {
+        for (int round = 0; round < 10; round++) {
+            final String key = newKey();
+            final List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                answers.add(
+                        mClient.sendAsync(
+                                request(i % 3, key, "body"), HttpResponse.BodyHandlers.ofString()));
+            }
+            final List<HttpResponse<String>> all =
+                    answers.stream().map(CompletableFuture::join).toList();
+            assertThat(runs(key)).isEqualTo(1);
+            assertThat(all).anyMatch(answer -> answer.statusCode() == 200);
+            assertThat(all)
+                    .allMatch(
+                            answer ->
+                                    answer.statusCode() == 200
+                                            || outcome(answer).equals("unknown"));
+        }
+    }
+
+    @Test
+    void shouldRefuseWhenAKeyIsUsedWithAnotherBody() throws Exception {
+        final String key = newKey();
+        send(0, key, "body");
+        final HttpResponse<String> longer = send(1, key, "longer body");
+        assertThat(longer.statusCode()).isEqualTo(422);
+        final HttpResponse<String> sameLength = send(2, key, "ydob");
+        assertThat(sameLength.statusCode()).isEqualTo(422);
+        assertThat(runs(key)).isEqualTo(1);
+    }
+
+    @Test
+    void shouldRunNothingWhenTheClaimCannotBeRecorded() throws Exception {
+        final String key = newKey();
+        mFleet.mPlatform.setFaults(new PlatformFaults(true, 0, 0, false, 0, 0));
+        final HttpResponse<String> refused = send(0, key, "body");
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(outcome(refused)).isEqualTo("unknown");
+        assertThat(runs(key)).isZero();
+        mFleet.mPlatform.setFaults(PlatformFaults.NONE);
+        assertThat(send(1, key, "body").statusCode()).isEqualTo(200);
+        assertThat(runs(key)).isEqualTo(1);
+    }
+
+    @Test
+    void shouldRunOnceWhenThePlatformLosesAnswers() throws Exception {
+        mFleet.mPlatform.setFaults(new PlatformFaults(false, 0, 60, false, 0, 0));
+        for (int i = 0; i < 10; i++) {
+            final String key = newKey();
+            for (int sending = 0; sending < 4; sending++) {
+                send(sending % 3, key, "body");
+            }
+            assertThat(runs(key)).isLessThanOrEqualTo(1);
+        }
+    }
+}
