Tell a call that never left its node as not run; leave without a cut

Cause: after a node was killed, calls whose link could not be opened were told as unknown; a leaving node closed connections on which a new request had begun; a gate that once refused was never chosen again. Change: a stream on a link that was never up ends as not run and is retried elsewhere; a refusal is trusted for one second; a leaving node closes each caller's connection only when it is idle.

--- a/src/main/java/io/bilberrylane/base/ErrorCode.java
+++ b/src/main/java/io/bilberrylane/base/ErrorCode.java
@@ -59,7 +59,9 @@
     /** Another gate holds the claim for the idempotency key. */
     CLAIM_HELD(409, 1),
     /** A run of this idempotency key may have happened and its answer is not known. */
-    KEY_OUTCOME_UNKNOWN(409, 1);
+    KEY_OUTCOME_UNKNOWN(409, 1),
+    /** The node has no configuration yet. */
+    NOT_READY(503, 1);
 
     private final int mHttpStatus;
     private final int mExitStatus;
--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -149,6 +149,17 @@
         mLeaving = true;
     }
 
+    /** Accepts no connection from now on and closes each one as soon as it is idle. */
+    public void closeIdle() {
+        mChannel.close().syncUninterruptibly();
+        for (final Channel connection : mConnections) {
+            final IngressHandler handler = connection.pipeline().get(IngressHandler.class);
+            if (handler != null) {
+                connection.eventLoop().execute(handler::closeWhenIdle);
+            }
+        }
+    }
+
     @Override
     public void close() {
         mChannel.close().syncUninterruptibly();
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -88,7 +88,8 @@
         }
         final Optional<ServiceEntry> entry = entry();
         if (entry.isEmpty()) {
-            refuse(ErrorCode.SERVICE_NOT_FOUND, true, 0);
+            final boolean ready = !mSettings.catalogue().get().services().isEmpty();
+            refuse(ready ? ErrorCode.SERVICE_NOT_FOUND : ErrorCode.NOT_READY, true, 0);
             return;
         }
         mService = entry.get().service();
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -74,6 +74,12 @@
         mExchange.refuseSyntax(ErrorCode.BAD_REQUEST);
     }
 
+    void closeWhenIdle() {
+        if (mExchange == null && mCtx != null) {
+            mCtx.close();
+        }
+    }
+
     boolean isClosing() {
         return mSettings.isLeaving();
     }
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -279,19 +279,26 @@
         mCallerServer.leave();
         mTargetServer.leave();
         sleep(CALLER_MOVE_MILLIS);
-        while (isBusy() && System.nanoTime() - deadlineNanos < 0) {
-            sleep(DRAIN_POLL_MILLIS);
-        }
+        awaitIdle(deadlineNanos);
+        mWatcher.stop();
+        mMembership.tellLeave();
+        sleep(CALLER_MOVE_MILLIS / 2);
+        mCallerServer.closeIdle();
+        mTargetServer.closeIdle();
+        awaitIdle(deadlineNanos);
         if (isBusy()) {
             LOGGER.atWarning().log(
                     "calls still in progress after %d ms are cut", mSettings.drainMillis());
         }
-        mWatcher.stop();
-        mMembership.tellLeave();
-        sleep(CALLER_MOVE_MILLIS / 2);
         close();
     }
 
+    private void awaitIdle(final long deadlineNanos) {
+        while (isBusy() && System.nanoTime() - deadlineNanos < 0) {
+            sleep(DRAIN_POLL_MILLIS);
+        }
+    }
+
     private boolean isBusy() {
         return mGate.load().inFlight() > 0 || mRouter.callsInProgress() > 0;
     }
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -312,12 +312,15 @@
         if (mOver) {
             return;
         }
-        mMayHaveRun |= !phase.isNotRun() && code != ErrorCode.LINK_LOST;
-        mMayHaveRun |= code == ErrorCode.LINK_LOST && mHead.idempotent();
+        if (code == ErrorCode.LINK_LOST) {
+            mRouter.told(attempt.mTarget, TargetLoad.ABSENT);
+        }
+        final boolean isResolvable = code == ErrorCode.LINK_LOST && !mHead.idempotent();
+        mMayHaveRun |= !phase.isNotRun() && !isResolvable;
         final boolean unheard = !mBodySent && !mHeadSeen && mAttempts < MAX_ATTEMPTS;
         if (unheard && (mHead.idempotent() || phase.isNotRun())) {
             attempt(Refusal.of(code));
-        } else if (code == ErrorCode.LINK_LOST && !mHeadSeen) {
+        } else if (isResolvable && !phase.isNotRun() && !mHeadSeen) {
             resolveDoubt(attempt);
         } else {
             fail(code, phase);
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -97,7 +97,7 @@
                 mLock.get(
                         () -> {
                             final Optional<Candidate> choice =
-                                    mSelector.choose(candidates, excluded);
+                                    mSelector.choose(candidates, excluded, System.nanoTime());
                             choice.ifPresent(candidate -> mLoads.sent(candidate.host()));
                             return choice;
                         });
--- a/src/main/java/io/bilberrylane/peer/ClientStream.java
+++ b/src/main/java/io/bilberrylane/peer/ClientStream.java
@@ -28,8 +28,9 @@
         return mSink;
     }
 
-    void lost() {
-        mSink.onFailed(ErrorCode.LINK_LOST, CallPhase.STARTED);
+    /** Ends the call with its link; only a call that never left this process was not run. */
+    void lost(final boolean wasSent) {
+        mSink.onFailed(ErrorCode.LINK_LOST, wasSent ? CallPhase.STARTED : CallPhase.NEVER);
     }
 
     // -- body
--- a/src/main/java/io/bilberrylane/peer/PeerLink.java
+++ b/src/main/java/io/bilberrylane/peer/PeerLink.java
@@ -35,6 +35,7 @@
     private final Deque<PeerMessage> mEarly = new ArrayDeque<>();
     private Channel mChannel;
     private boolean mActive;
+    private boolean mWasActive;
     private boolean mClosed;
     private int mNextStreamId = 1;
     private long mNextQuestionId = 1;
@@ -60,7 +61,7 @@
         onLoop(
                 () -> {
                     if (mClosed) {
-                        stream.lost();
+                        stream.lost(false);
                         return;
                     }
                     stream.register(mNextStreamId++);
@@ -121,6 +122,7 @@
     @Override
     public void channelActive(final ChannelHandlerContext ctx) {
         mActive = true;
+        mWasActive = true;
         mLastReadNanos = System.nanoTime();
         ctx.write(mIdentity.hello());
         for (final PeerMessage message : mEarly) {
@@ -238,7 +240,8 @@
         mOnClosed.accept(this);
         final List<ClientStream> streams = List.copyOf(mStreams.values());
         mStreams.clear();
-        streams.forEach(ClientStream::lost);
+        final boolean wasSent = mWasActive;
+        streams.forEach(stream -> stream.lost(wasSent));
         List.copyOf(mQuestions.keySet()).forEach(id -> settle(id, Optional.empty()));
     }
 
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -23,6 +23,9 @@
     /** Assumed time to another data centre and back, in microseconds. */
     static final long REMOTE_ROUND_TRIP_MICROS = 2_000;
 
+    /** A gate that admitted nothing is left alone for this long, in nanoseconds. */
+    static final long REFUSAL_TRUST_NANOS = 1_000_000_000L;
+
     private final String mDataCentre;
     private final LoadTable mLoads;
     private final Random mRandom;
@@ -54,13 +57,16 @@
      *
      * @param candidates targets of the service that are in service
      * @param excluded hosts that were tried before
+     * @param nowNanos the monotonic clock
      * @return the choice, or nothing when no candidate is left
      */
     public Optional<Candidate> choose(
-            final List<Candidate> candidates, final Collection<String> excluded) {
+            final List<Candidate> candidates,
+            final Collection<String> excluded,
+            final long nowNanos) {
         final List<Candidate> left = new ArrayList<>(candidates.size());
         for (final Candidate candidate : candidates) {
-            if (!excluded.contains(candidate.host()) && isAccepting(candidate)) {
+            if (!excluded.contains(candidate.host()) && isAccepting(candidate, nowNanos)) {
                 left.add(candidate);
             }
         }
@@ -94,8 +100,9 @@
 
     // -- choice
 
-    private boolean isAccepting(final Candidate candidate) {
-        return mLoads.estimate(candidate.host()).map(TargetLoad::accepting).orElse(true);
+    private boolean isAccepting(final Candidate candidate, final long nowNanos) {
+        return mLoads.ageNanos(candidate.host(), nowNanos) > REFUSAL_TRUST_NANOS
+                || mLoads.estimate(candidate.host()).map(TargetLoad::accepting).orElse(true);
     }
 
     private Candidate best(final List<Candidate> from, final Candidate first) {
--- a/src/test/java/io/bilberrylane/node/KeyDeskTest.java
+++ b/src/test/java/io/bilberrylane/node/KeyDeskTest.java
@@ -160,8 +160,7 @@
         void checkAnswers() {
             for (final Call call : mCalls) {
                 call.mAnswer.ifPresent(
-                        answer ->
-                                assertThat(answer.body()).isEqualTo(mAnswers.get(call.mKey)));
+                        answer -> assertThat(answer.body()).isEqualTo(mAnswers.get(call.mKey)));
             }
         }
     }
