Make failing fast attract no calls; never tell an event before its call is open

Cause 1: a target that failed fast looked faster, and its answers were passed on although it said that it had not run the call. Cause 2: a second attempt at the gate of the same node was answered before it was open, and the caller's connection was closed without an answer (seen once in KeyedCallsTest, NullPointerException). Change: a failure counts for 50 ms of service time; an answer that says not-run is tried elsewhere; events wait until open has returned. Idle peer links are pinged only while something waits on them.

--- a/bin/launcher.sh
+++ b/bin/launcher.sh
@@ -28,6 +28,7 @@
         flags="$flags -Dio.netty.allocator.type=pooled -Dio.netty.allocator.maxOrder=5"
         flags="$flags -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1"
         ;;
+    capacity) flags="$flags -Xmx1500m" ;;
     load) flags="$flags -Xmx512m -XX:TieredStopAtLevel=1" ;;
     *-standin) flags="$flags -Xmx128m -XX:TieredStopAtLevel=1" ;;
     *) flags="$flags -Xmx128m" ;;
--- a/src/main/java/io/bilberrylane/base/ErrorCode.java
+++ b/src/main/java/io/bilberrylane/base/ErrorCode.java
@@ -61,7 +61,9 @@
     /** A run of this idempotency key may have happened and its answer is not known. */
     KEY_OUTCOME_UNKNOWN(409, 1),
     /** The node has no configuration yet. */
-    NOT_READY(503, 1);
+    NOT_READY(503, 1),
+    /** Every tried target said that it refused the call without running it. */
+    TARGET_REFUSED(503, 1);
 
     private final int mHttpStatus;
     private final int mExitStatus;
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/CapacityCommand.java
@@ -0,0 +1,41 @@
+package io.bilberrylane.cli;
+
+import io.bilberrylane.capacity.Slope;
+import io.bilberrylane.capacity.SlopeMeasurement;
+import java.util.List;
+import java.util.Locale;
+
+/** Measures the slopes of the capacity page. */
+final class CapacityCommand implements Command {
+    @Override
+    public String name() {
+        return "capacity";
+    }
+
+    @Override
+    public String help() {
+        return "measure how bytes, time and memory grow, as a Markdown table";
+    }
+
+    @Override
+    public List<Flag> flags() {
+        return List.of();
+    }
+
+    @Override
+    public int run(final Settings settings, final List<String> arguments) {
+        System.out.println("| matter | size | figure | unit |");
+        System.out.println("|---|---:|---:|---|");
+        for (final Slope slope : SlopeMeasurement.measure()) {
+            System.out.println(
+                    String.format(
+                            Locale.ROOT,
+                            "| %s | %d | %.2f | %s |",
+                            slope.matter(),
+                            slope.size(),
+                            slope.figure(),
+                            slope.unit()));
+        }
+        return 0;
+    }
+}
--- a/src/main/java/io/bilberrylane/cli/Main.java
+++ b/src/main/java/io/bilberrylane/cli/Main.java
@@ -71,6 +71,7 @@
                         new CtlCheckCommand(),
                         new CtlStatusCommand(),
                         new LoadCommand(),
+                        new CapacityCommand(),
                         new PlatformStandInCommand(),
                         new TargetStandInCommand())) {
             commands.put(command.name(), command);
--- a/src/main/java/io/bilberrylane/node/KeyedRun.java
+++ b/src/main/java/io/bilberrylane/node/KeyedRun.java
@@ -2,7 +2,6 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
-import io.bilberrylane.http.Headers;
 import io.bilberrylane.peer.AnswerHead;
 import io.bilberrylane.peer.CallHead;
 import io.netty.buffer.ByteBuf;
@@ -52,7 +51,7 @@
     }
 
     void finish() {
-        if (saysNotRun()) {
+        if (mAnswerHead.saysNotRun()) {
             mDesk.disown(mKey);
             return;
         }
@@ -63,15 +62,6 @@
         mDesk.finish(mKey, mFingerprint, kept);
     }
 
-    private boolean saysNotRun() {
-        return mAnswerHead.status() >= 400
-                && mAnswerHead.headers().stream()
-                        .anyMatch(
-                                field ->
-                                        field.name().equalsIgnoreCase(Headers.OUTCOME)
-                                                && field.value().equals("not-run"));
-    }
-
     // -- bodies
 
     void addBody(final ByteBuf bytes) {
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -180,6 +180,8 @@
         private final String mCallId;
         private BodySink mBody;
         private boolean mClosed;
+        private boolean mSwallowing;
+        private int mDeferred;
 
         private Attempt(final TargetRef target, final String callId) {
             mTarget = target;
@@ -195,11 +197,19 @@
             return true;
         }
 
+        /** Runs an event after those before it, and never before {@code open} has returned. */
         private void inOrder(final Runnable action) {
-            if (mExecutor.inEventLoop()) {
-                action.run();
-            } else {
+            if (!mExecutor.inEventLoop()) {
                 mExecutor.execute(action);
+            } else if (mBody == null || mDeferred > 0) {
+                mDeferred++;
+                mExecutor.execute(
+                        () -> {
+                            mDeferred--;
+                            action.run();
+                        });
+            } else {
+                action.run();
             }
         }
 
@@ -229,7 +239,11 @@
         public void onHead(final AnswerHead head) {
             inOrder(
                     () -> {
-                        if (!mClosed) {
+                        if (mClosed) {
+                            return;
+                        }
+                        mSwallowing = isRetryable(head);
+                        if (!mSwallowing) {
                             mHeadSeen = true;
                             mSink.onHead(head);
                         }
@@ -240,7 +254,10 @@
         public void onData(final ByteBuf bytes) {
             inOrder(
                     () -> {
-                        if (mClosed) {
+                        if (mSwallowing && !mClosed) {
+                            mBody.credit(bytes.readableBytes());
+                        }
+                        if (mClosed || mSwallowing) {
                             bytes.release();
                         } else {
                             mSink.onData(bytes);
@@ -253,7 +270,12 @@
             mRouter.told(mTarget, load);
             inOrder(
                     () -> {
-                        if (close() && over()) {
+                        if (!close()) {
+                            return;
+                        }
+                        if (mSwallowing) {
+                            attempt(Refusal.of(ErrorCode.TARGET_REFUSED));
+                        } else if (over()) {
                             mSink.onEnd(load);
                         }
                     });
@@ -282,6 +304,11 @@
 
     // -- decisions
 
+    /** Returns whether an answer says that its target did not run the call, and another may. */
+    private boolean isRetryable(final AnswerHead head) {
+        return head.saysNotRun() && !mOver && !mBodySent && !isKeyed() && mAttempts < MAX_ATTEMPTS;
+    }
+
     private void afterRefusal(final Refusal refusal) {
         if (mOver) {
             return;
--- a/src/main/java/io/bilberrylane/node/SeedService.java
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -35,6 +35,7 @@
     private static final int SEEDS_PER_DATA_CENTRE = 3;
     private static final long ALONE_INTERVAL_MILLIS = 500;
     private static final long SYNC_INTERVAL_MILLIS = 10_000;
+    private static final long SYNC_MILLIS_PER_MEMBER = 100;
     private static final long SYNC_TIMEOUT_MILLIS = 2_000;
     private static final int LISTS_PER_SYNC = 6;
 
@@ -92,11 +93,17 @@
         } else {
             syncWithOne();
         }
-        final long base = alone ? ALONE_INTERVAL_MILLIS : SYNC_INTERVAL_MILLIS;
+        final long base = alone ? ALONE_INTERVAL_MILLIS : syncIntervalMillis();
         final long delay = base / 2 + mRandom.nextInt((int) base);
         mTransport.group().schedule(this::round, delay, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns a pause that grows with the view, so that its bytes per second stay constant. */
+    private long syncIntervalMillis() {
+        final long members = mMembership.members().size();
+        return Math.max(SYNC_INTERVAL_MILLIS, members * SYNC_MILLIS_PER_MEMBER);
+    }
+
     private boolean isAlone() {
         return mMembership.members().stream().filter(Member::isPresent).count() <= 1;
     }
--- a/src/main/java/io/bilberrylane/peer/PeerLink.java
+++ b/src/main/java/io/bilberrylane/peer/PeerLink.java
@@ -212,7 +212,7 @@
         if (silent) {
             LOGGER.atWarning().log("link to %s is silent; closing it", ctx.channel());
             ctx.close();
-        } else if (mPingSentNanos == 0) {
+        } else if (mPingSentNanos == 0 && !(mStreams.isEmpty() && mQuestions.isEmpty())) {
             mPingSentNanos = now;
             ctx.writeAndFlush(new PeerMessage.Ping(now));
         }
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -23,6 +23,9 @@
 public final class GateAdmission {
     private static final double SERVICE_WEIGHT = 0.1;
 
+    /** What a failure counts for at least, so that failing fast attracts no calls. */
+    private static final long FAILURE_COST_NANOS = 50_000_000L;
+
     /** A queue longer than this many times the allowance serves its newest call first. */
     private static final int OVERLOAD_FACTOR = 2;
 
@@ -136,7 +139,7 @@
         if (mInService.remove(callId)) {
             if (serviceNanos >= 0) {
                 mColdStart.complete(healthy, serviceNanos);
-                learn(serviceNanos);
+                learn(healthy ? serviceNanos : Math.max(serviceNanos, FAILURE_COST_NANOS));
             }
         } else {
             withdraw(callId);
--- a/src/test/java/io/bilberrylane/base/ArchitectureTest.java
+++ b/src/test/java/io/bilberrylane/base/ArchitectureTest.java
@@ -54,6 +54,9 @@
                                     "http")),
                     Map.entry("ctl", Set.of("base", "net", "catalogue", "platform")),
                     Map.entry("load", Set.of("base", "net")),
+                    Map.entry(
+                            "capacity",
+                            Set.of("base", "catalogue", "policy", "membership", "outcome", "peer")),
                     Map.entry("standin", Set.of("base", "net", "platform", "http")),
                     Map.entry(
                             "cli",
@@ -65,7 +68,8 @@
                                     "node",
                                     "ctl",
                                     "load",
-                                    "standin")));
+                                    "standin",
+                                    "capacity")));
 
     private static Map<String, List<Path>> sources() throws IOException {
         final Map<String, List<Path>> sources = new HashMap<>();
--- a/src/test/java/io/bilberrylane/node/KeyedCallsTest.java
+++ b/src/test/java/io/bilberrylane/node/KeyedCallsTest.java
@@ -5,10 +5,12 @@
 import io.bilberrylane.standin.PlatformFaults;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -47,7 +49,11 @@
     }
 
     private HttpRequest request(final int node, final String key, final String body) {
-        final InetSocketAddress address = mFleet.mNodes.get(node).callerAddress();
+        return request(mFleet.mNodes.get(node), key, body);
+    }
+
+    private static HttpRequest request(final Node node, final String key, final String body) {
+        final InetSocketAddress address = node.callerAddress();
         return HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + address.getPort() + "/bookings"))
                 .version(HttpClient.Version.HTTP_1_1)
@@ -88,6 +94,29 @@
         assertThat(runs(key)).isEqualTo(1);
     }
 
+    @Test
+    void shouldReplayTheAnswerWhenTheIngressIsBesideTheGate() throws Exception {
+        try (Fleet alone = Fleet.of(1, 500)) {
+            final String key = newKey();
+            final String first = sendInOneSegment(alone.mNodes.get(0), key);
+            final String again = sendInOneSegment(alone.mNodes.get(0), key);
+            assertThat(first).startsWith("HTTP/1.1 200");
+            assertThat(again).startsWith("HTTP/1.1 200").containsIgnoringCase("replayed: true");
+        }
+    }
+
+    private static String sendInOneSegment(final Node node, final String key) throws IOException {
+        final String request =
+                "POST / HTTP/1.1\r\nHost: calendar\r\nConnection: close\r\nIdempotency-Key: "
+                        + key
+                        + "\r\nContent-Length: 4\r\n\r\nbody";
+        try (Socket socket = new Socket("127.0.0.1", node.callerAddress().getPort())) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     @Test
     void shouldRunOnceWhenAKeyIsSentThroughAllNodesAtTheSameMoment() {
         for (int round = 0; round < 10; round++) {
--- a/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
+++ b/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
@@ -124,6 +124,24 @@
         }
     }
 
+    @Group
+    class Told {
+        @Example
+        void shouldNotLookFasterWhenTheTargetFailsFast() {
+            final GateAdmission gate = GateAdmission.of(6, 6, 0);
+            for (int i = 0; i < 50; i++) {
+                gate.offer(ticket("ok" + i, 0, 100), 0);
+                gate.release("ok" + i, true, 3 * MILLI, 0);
+            }
+            final long healthyMicros = gate.load().serviceMicros();
+            for (int i = 0; i < 10; i++) {
+                gate.offer(ticket("bad" + i, 0, 100), 0);
+                gate.release("bad" + i, false, MILLI / 10, 0);
+            }
+            assertThat(gate.load().serviceMicros()).isGreaterThan(2 * healthyMicros);
+        }
+    }
+
     @Group
     class Cold {
         @Example
