--- a/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
+++ b/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
@@ -139,8 +139,7 @@
                         1,
                         true,
                         "",
-                        0,
-                        false);
+                        0);
         final PeerMessage open = new PeerMessage.Open(1, head);
         add(
                 "open message, encoded and decoded",
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -161,8 +161,7 @@
                 1,
                 idempotent,
                 mRequest.headers().get(Headers.IDEMPOTENCY_KEY, ""),
-                bodyBytes,
-                false);
+                bodyBytes);
     }
 
     // -- the caller's side
--- a/src/main/java/io/bilberrylane/http/IngressSettings.java
+++ b/src/main/java/io/bilberrylane/http/IngressSettings.java
@@ -1,7 +1,6 @@
 package io.bilberrylane.http;
 
 import io.bilberrylane.catalogue.Catalogue;
-import io.bilberrylane.policy.TargetLoad;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -35,8 +34,4 @@
     boolean isLeaving() {
         return leaving.getAsBoolean();
     }
-
-    TargetLoad absentLoad() {
-        return TargetLoad.ABSENT;
-    }
 }
--- a/src/main/java/io/bilberrylane/node/NodeMetrics.java
+++ b/src/main/java/io/bilberrylane/node/NodeMetrics.java
@@ -2,6 +2,7 @@
 
 import io.bilberrylane.http.IngressMetrics;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -65,9 +66,7 @@
     }
 
     void gauge(final String name, final String description, final Supplier<Number> value) {
-        io.micrometer.core.instrument.Gauge.builder(name, value)
-                .description(description)
-                .register(mRegistry);
+        Gauge.builder(name, value).description(description).register(mRegistry);
     }
 
     String scrape() {
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -90,7 +90,7 @@
         mAttempt = next;
         next.mBody =
                 mRouter.opener(target.get())
-                        .open(mHead.forAttempt(callId, remainingMillis, mAttempts, false), next);
+                        .open(mHead.forAttempt(callId, remainingMillis, mAttempts), next);
     }
 
     /** Ends the call without a run; an earlier attempt that may have run makes that untrue. */
--- a/src/main/java/io/bilberrylane/peer/CallHead.java
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -16,7 +16,6 @@
  * @param idempotent whether the call may run more than once
  * @param key the idempotency key, or empty
  * @param bodyBytes the body's length in bytes; 0 without a body, -1 when not known
- * @param replayOnly whether the gate may only replay a remembered answer, never run the call
  */
 public record CallHead(
         String callId,
@@ -28,8 +27,7 @@
         int attempt,
         boolean idempotent,
         String key,
-        long bodyBytes,
-        boolean replayOnly) {
+        long bodyBytes) {
     /** Checks the parts and copies the headers. */
     public CallHead {
         Objects.requireNonNull(callId, "callId is null");
@@ -55,14 +53,10 @@
      * @param newCallId the identity of the attempt
      * @param remainingMillis time that remains until the deadline, in milliseconds
      * @param newAttempt the number of the attempt
-     * @param onlyReplay whether the gate may only replay a remembered answer
      * @return a changed copy
      */
     public CallHead forAttempt(
-            final String newCallId,
-            final long remainingMillis,
-            final int newAttempt,
-            final boolean onlyReplay) {
+            final String newCallId, final long remainingMillis, final int newAttempt) {
         return new CallHead(
                 newCallId,
                 service,
@@ -73,7 +67,6 @@
                 newAttempt,
                 idempotent,
                 key,
-                bodyBytes,
-                onlyReplay);
+                bodyBytes);
     }
 }
--- a/src/main/java/io/bilberrylane/peer/PeerCodec.java
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -78,7 +78,7 @@
     }
 
     private static byte[] encodeOpen(final int streamId, final CallHead head) {
-        return FieldWriter.of(MessageType.OPEN, 12)
+        return FieldWriter.of(MessageType.OPEN, 11)
                 .integer(1, streamId)
                 .text(2, head.callId())
                 .text(3, head.service())
@@ -90,7 +90,6 @@
                 .flag(9, head.idempotent())
                 .text(10, head.key())
                 .integer(11, head.bodyBytes())
-                .flag(12, head.replayOnly())
                 .toBytes();
     }
 
@@ -234,7 +233,6 @@
                 fields.smallInteger(8),
                 fields.flag(9),
                 fields.text(10),
-                fields.integer(11),
-                fields.flag(12));
+                fields.integer(11));
     }
 }
--- a/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
+++ b/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
@@ -49,8 +49,7 @@
                                                 attempt,
                                                 flag,
                                                 b,
-                                                millis,
-                                                !flag));
+                                                millis));
         final Arbitrary<Member> members =
                 Combinators.combine(text, text, large, Arbitraries.of(MemberStatus.values()))
                         .as(
--- a/src/test/java/io/bilberrylane/platform/PlatformClientTest.java
+++ b/src/test/java/io/bilberrylane/platform/PlatformClientTest.java
@@ -12,7 +12,6 @@
 import io.bilberrylane.standin.PlatformStandIn;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -181,6 +180,5 @@
                 .isInstanceOf(BilberrylaneException.class)
                 .extracting(e -> ((BilberrylaneException) e).code())
                 .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
-        assertThat(List.of(ONE)).isNotEmpty();
     }
 }
