--- a/src/main/java/io/bilberrylane/ctl/CatalogueStore.java
+++ b/src/main/java/io/bilberrylane/ctl/CatalogueStore.java
@@ -132,8 +132,7 @@
                             + " came before this change, which was made from revision "
                             + base
                             + (inDoubt
-                                    ? "; if this change was accepted in between, 'ctl history'"
-                                            + " shows it"
+                                    ? "; this change may have been accepted and replaced in between"
                                     : "; nothing was changed"));
         }
     }
--- a/src/test/java/io/bilberrylane/node/FaultyStore.java
+++ b/src/test/java/io/bilberrylane/node/FaultyStore.java
@@ -45,6 +45,9 @@
     private final List<Call<?>> mCalls = new ArrayList<>();
     private final List<Call<?>> mLate = new ArrayList<>();
     private final double mFaults;
+    private final List<StoredObject> mHistory = new ArrayList<>();
+    private Runnable mBeforeWrite = () -> {};
+    private boolean mImmediate;
     private boolean mDown;
     private long mVersion;
 
@@ -57,6 +60,17 @@
         mDown = down;
     }
 
+    /** Lets every call be answered before it returns; runs an action before each write. */
+    void answerAtOnce(final Runnable beforeWrite) {
+        mImmediate = true;
+        mBeforeWrite = beforeWrite;
+    }
+
+    /** Returns every state that was ever stored, in order. */
+    List<StoredObject> history() {
+        return List.copyOf(mHistory);
+    }
+
     boolean isIdle() {
         return mCalls.isEmpty();
     }
@@ -83,6 +97,9 @@
     private <T> CompletableFuture<T> submit(final Supplier<T> effect) {
         final Call<T> call = new Call<>(effect, new CompletableFuture<>());
         mCalls.add(call);
+        while (mImmediate && !call.answer().isDone()) {
+            step();
+        }
         return call.answer();
     }
 
@@ -113,6 +130,7 @@
     @Override
     public CompletableFuture<StoredObject> update(
             final String kind, final String name, final long version, final JsonNode spec) {
+        mBeforeWrite.run();
         return submit(
                 () -> {
                     check(find(name), version);
@@ -154,6 +172,7 @@
     private StoredObject put(final String kind, final String name, final JsonNode spec) {
         final StoredObject object = new StoredObject(kind, name, ++mVersion, spec);
         mObjects.put(name, object);
+        mHistory.add(object);
         return object;
     }
 }
