--- a/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
+++ b/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
@@ -34,7 +34,7 @@
     private SlopeMeasurement() {}
 
     /**
-     * Returns all points. Takes about a minute.
+     * Returns all points. Takes two to three minutes.
      *
      * @return points in the order that they were measured
      */
