Ask the call head whether it is keyed; name the outcome header once

Cause: ingress and gate each decided what a keyed call is, and the outcome header's name stood in two packages. Change: CallHead.isKeyed, and Headers.OUTCOME takes AnswerHead.OUTCOME.

--- a/src/main/java/io/bilberrylane/http/Headers.java
+++ b/src/main/java/io/bilberrylane/http/Headers.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.http;
 
+import io.bilberrylane.peer.AnswerHead;
 import io.bilberrylane.peer.HeaderField;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -15,7 +16,7 @@
 /** The header fields of the project and the rules for passing fields on. */
 public final class Headers {
     /** Says whether a refused or failed call was run: {@code not-run} or {@code unknown}. */
-    public static final String OUTCOME = "Bilberrylane-Outcome";
+    public static final String OUTCOME = AnswerHead.OUTCOME;
 
     /** Carries the error code of a refused or failed call. */
     public static final String ERROR = "Bilberrylane-Error";
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -76,10 +76,7 @@
         mHead = head;
         mSink = sink;
         mBodyEnded = !head.hasBody();
-        mKey =
-                head.idempotent() || head.key().isEmpty()
-                        ? Optional.empty()
-                        : Optional.of(new KeyedRun(gate.keys(), head));
+        mKey = head.isKeyed() ? Optional.of(new KeyedRun(gate.keys(), head)) : Optional.empty();
         mDeadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis());
     }
 
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -95,7 +95,7 @@
 
     /** Ends the call without a run; an earlier attempt that may have run makes that untrue. */
     private void refuse(final Refusal refusal) {
-        final boolean earlierSendingMayHaveRun = isKeyed() && !mKeyCertain;
+        final boolean earlierSendingMayHaveRun = mHead.isKeyed() && !mKeyCertain;
         if (mMayHaveRun || earlierSendingMayHaveRun) {
             final boolean held = refusal.code() == ErrorCode.CLAIM_HELD;
             fail(held ? ErrorCode.KEY_OUTCOME_UNKNOWN : refusal.code(), CallPhase.STARTED);
@@ -114,10 +114,6 @@
         }
     }
 
-    private boolean isKeyed() {
-        return !mHead.idempotent() && !mHead.key().isEmpty();
-    }
-
     private boolean over() {
         if (mOver) {
             return false;
@@ -306,7 +302,11 @@
 
     /** Returns whether an answer says that its target did not run the call, and another may. */
     private boolean isRetryable(final AnswerHead head) {
-        return head.saysNotRun() && !mOver && !mBodySent && !isKeyed() && mAttempts < MAX_ATTEMPTS;
+        return head.saysNotRun()
+                && !mOver
+                && !mBodySent
+                && !mHead.isKeyed()
+                && mAttempts < MAX_ATTEMPTS;
     }
 
     private void afterRefusal(final Refusal refusal) {
--- a/src/main/java/io/bilberrylane/peer/AnswerHead.java
+++ b/src/main/java/io/bilberrylane/peer/AnswerHead.java
@@ -9,7 +9,8 @@
  * @param headers the end-to-end header fields
  */
 public record AnswerHead(int status, List<HeaderField> headers) {
-    private static final String OUTCOME = "Bilberrylane-Outcome";
+    /** The field that says whether a refused or failed call was run. */
+    public static final String OUTCOME = "Bilberrylane-Outcome";
 
     /** Copies the headers. */
     public AnswerHead {
--- a/src/main/java/io/bilberrylane/peer/CallHead.java
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -47,6 +47,15 @@
         return bodyBytes != 0;
     }
 
+    /**
+     * Returns whether the call must run at most once for its idempotency key.
+     *
+     * @return true for a non-idempotent call with a key
+     */
+    public boolean isKeyed() {
+        return !idempotent && !key.isEmpty();
+    }
+
     /**
      * Returns the head of another attempt.
      *
