--- a/src/main/java/io/bilberrylane/base/ErrorCode.java
+++ b/src/main/java/io/bilberrylane/base/ErrorCode.java
@@ -63,7 +63,15 @@
     /** The node has no configuration yet. */
     NOT_READY(503, 1),
     /** Every tried target said that it refused the call without running it. */
-    TARGET_REFUSED(503, 1);
+    TARGET_REFUSED(503, 1),
+    /** The platform holds or sent something that cannot be read. */
+    PLATFORM_UNREADABLE(502, 3),
+    /** The target's answer does not belong to the request, or is spoiled. */
+    ANSWER_SPOILED(502, 1),
+    /** The calls that crash their targets are refused for a while. */
+    QUARANTINED(503, 1),
+    /** The budget for sending calls to a second target is spent. */
+    RETRY_BUDGET_SPENT(502, 1);
 
     private final int mHttpStatus;
     private final int mExitStatus;
--- a/src/main/java/io/bilberrylane/capacity/GossipNetwork.java
+++ b/src/main/java/io/bilberrylane/capacity/GossipNetwork.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.capacity;
 
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.membership.Member;
 import io.bilberrylane.membership.MemberStatus;
 import io.bilberrylane.membership.MemberTable;
@@ -89,7 +90,7 @@
             final SwimMessage message = outgoing.message();
             mBytes += GossipCodec.encode(message).length + DATAGRAM_HEADER_BYTES;
             final int to = mIndex.get(outgoing.peerAddress());
-            learn(to, message.configurationVersion());
+            learn(to, message.configurationVersion().catalogue());
             wire.addAll(mSwims.get(to).receive(message, mNowNanos));
         }
     }
@@ -99,7 +100,7 @@
     private void learn(final int node, final long version) {
         if (version > mVersions[node]) {
             mVersions[node] = version;
-            mSwims.get(node).tellConfigurationVersion(version);
+            mSwims.get(node).tellConfigurationVersion(new ConfigurationVersion(version, 0));
         }
     }
 
--- a/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
+++ b/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
@@ -139,7 +139,10 @@
                         1,
                         true,
                         "",
-                        0);
+                        0,
+                        "",
+                        0,
+                        1_000);
         final PeerMessage open = new PeerMessage.Open(1, head);
         add(
                 "open message, encoded and decoded",
--- a/src/main/java/io/bilberrylane/catalogue/Catalogue.java
+++ b/src/main/java/io/bilberrylane/catalogue/Catalogue.java
@@ -1,6 +1,9 @@
 package io.bilberrylane.catalogue;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -9,26 +12,134 @@
 
 /** A checked catalogue: entries by name and by host, and what is taken out of service. */
 public final class Catalogue {
-    private static final Catalogue EMPTY = new Catalogue(List.of(), Set.of(), Set.of());
+    private static final int DEFAULT_ATTEMPTS = 3;
+    private static final Catalogue EMPTY = builder().build();
 
-    private final Map<String, ServiceEntry> mByService = new HashMap<>();
-    private final Map<String, ServiceEntry> mByHost = new HashMap<>();
+    private final Map<String, ServiceEntry> mByService;
+    private final List<Route> mRoutes;
+    private final RouteTable mTable;
+    private final CallerLimits mCallerLimits;
     private final Set<String> mDataCentresOut;
     private final Set<String> mTargetsOut;
 
     private Catalogue(
-            final List<ServiceEntry> entries,
+            final Map<String, ServiceEntry> entries,
+            final List<Route> routes,
+            final CallerLimits callerLimits,
             final Set<String> dataCentresOut,
             final Set<String> targetsOut) {
-        for (final ServiceEntry entry : entries) {
-            mByService.put(entry.service(), entry);
-            mByHost.put(entry.service().toLowerCase(Locale.ROOT), entry);
-            entry.hosts().forEach(host -> mByHost.put(host.toLowerCase(Locale.ROOT), entry));
-        }
+        mByService = entries;
+        mRoutes = routes;
+        mTable = RouteTable.of(withOwnHosts(routes, entries.values()));
+        mCallerLimits = callerLimits;
         mDataCentresOut = Set.copyOf(dataCentresOut);
         mTargetsOut = Set.copyOf(targetsOut);
     }
 
+    private static List<Route> withOwnHosts(
+            final List<Route> routes, final Collection<ServiceEntry> entries) {
+        final List<Route> all = new ArrayList<>(routes);
+        for (final ServiceEntry entry : entries) {
+            all.add(ownRoute(entry, entry.service()));
+            entry.hosts().forEach(host -> all.add(ownRoute(entry, host)));
+        }
+        return all;
+    }
+
+    private static Route ownRoute(final ServiceEntry entry, final String host) {
+        final long timeoutMillis = entry.limits().timeoutMillis();
+        return new Route(
+                host.toLowerCase(Locale.ROOT),
+                "/",
+                List.of(new WeightedService(entry.service(), 1)),
+                RunRule.BY_METHOD,
+                timeoutMillis,
+                Math.min(timeoutMillis, entry.objectives().latencyMillis()),
+                DEFAULT_ATTEMPTS,
+                entry.serviceClass().ordinal(),
+                Set.of());
+    }
+
+    /**
+     * Returns a builder without entries.
+     *
+     * @return an empty builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Gathers the parts of a catalogue. */
+    public static final class Builder {
+        private final Map<String, ServiceEntry> mEntries = new LinkedHashMap<>();
+        private final List<Route> mRoutes = new ArrayList<>();
+        private CallerLimits mCallerLimits = CallerLimits.DEFAULT;
+        private Set<String> mDataCentresOut = Set.of();
+        private Set<String> mTargetsOut = Set.of();
+
+        private Builder() {}
+
+        /**
+         * Adds an entry.
+         *
+         * @param entry the entry; its name and hosts are not in the catalogue yet
+         * @return this builder
+         */
+        public Builder entry(final ServiceEntry entry) {
+            mEntries.put(entry.service(), entry);
+            return this;
+        }
+
+        /**
+         * Adds a route.
+         *
+         * @param route the route
+         * @return this builder
+         */
+        public Builder route(final Route route) {
+            mRoutes.add(route);
+            return this;
+        }
+
+        /**
+         * Sets what callers may send.
+         *
+         * @param limits the limits
+         * @return this builder
+         */
+        public Builder callerLimits(final CallerLimits limits) {
+            mCallerLimits = limits;
+            return this;
+        }
+
+        /**
+         * Sets what is taken out of service.
+         *
+         * @param dataCentres data centres that get no new work
+         * @param targets hosts whose targets get no new work
+         * @return this builder
+         */
+        public Builder out(final Set<String> dataCentres, final Set<String> targets) {
+            mDataCentresOut = dataCentres;
+            mTargetsOut = targets;
+            return this;
+        }
+
+        /**
+         * Returns the catalogue.
+         *
+         * @return a catalogue of all parts
+         */
+        public Catalogue build() {
+            return new Catalogue(
+                    Map.copyOf(mEntries),
+                    List.copyOf(mRoutes),
+                    mCallerLimits,
+                    mDataCentresOut,
+                    mTargetsOut);
+        }
+    }
+
     /**
      * Returns a catalogue without entries.
      *
@@ -39,18 +150,15 @@
     }
 
     /**
-     * Returns a catalogue.
+     * Returns the catalogue with other data centres out of service.
      *
-     * @param entries the entries, with distinct names and hosts
-     * @param dataCentresOut data centres that get no new work
-     * @param targetsOut hosts whose targets get no new work
-     * @return the catalogue
+     * @param dataCentres data centres that get no new work, besides those of the catalogue itself
+     * @return a changed copy
      */
-    public static Catalogue of(
-            final List<ServiceEntry> entries,
-            final Set<String> dataCentresOut,
-            final Set<String> targetsOut) {
-        return new Catalogue(entries, dataCentresOut, targetsOut);
+    public Catalogue withDataCentresOut(final Set<String> dataCentres) {
+        final Set<String> all = new HashSet<>(mDataCentresOut);
+        all.addAll(dataCentres);
+        return new Catalogue(mByService, mRoutes, mCallerLimits, all, mTargetsOut);
     }
 
     // -- queries
@@ -66,15 +174,34 @@
     }
 
     /**
-     * Returns the entry that a caller's request belongs to.
+     * Returns the route of a caller's request.
      *
      * @param host the value of the Host header, with or without a port
-     * @return the entry, if there is one
+     * @param path the path, without a query
+     * @return the route with the longest prefix, if there is one
      */
-    public Optional<ServiceEntry> forHost(final String host) {
+    public Optional<Route> route(final String host, final String path) {
         final int colon = host.lastIndexOf(':');
         final String name = colon < 0 ? host : host.substring(0, colon);
-        return Optional.ofNullable(mByHost.get(name.toLowerCase(Locale.ROOT)));
+        return mTable.find(name.toLowerCase(Locale.ROOT), path);
+    }
+
+    /**
+     * Returns what callers may send.
+     *
+     * @return the limits
+     */
+    public CallerLimits callerLimits() {
+        return mCallerLimits;
+    }
+
+    /**
+     * Returns the routes that the catalogue names, besides those of the entries' own hosts.
+     *
+     * @return the routes in the catalogue's order
+     */
+    public List<Route> routes() {
+        return mRoutes;
     }
 
     /**
--- a/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
+++ b/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
@@ -54,15 +54,23 @@
         if (!schema.isEmpty() && !schema.equals(String.valueOf(SCHEMA))) {
             root.error(root.place("schema"), "unknown-schema", "schema must be " + SCHEMA);
         }
-        final List<ServiceEntry> entries = new ArrayList<>();
+        final Catalogue.Builder builder = Catalogue.builder();
+        final Set<String> services = new HashSet<>();
         for (final PlacedNode node : root.items("services")) {
             FieldScope.of(node, "a service", mFindings)
-                    .ifPresent(scope -> entries.add(entry(scope)));
+                    .map(this::entry)
+                    .ifPresent(
+                            entry -> {
+                                services.add(entry.service());
+                                builder.entry(entry);
+                            });
         }
-        final Set<String> dataCentresOut = names(root, "dataCentresOut");
-        final Set<String> targetsOut = names(root, "targetsOut");
+        final RouteReader routes = new RouteReader(services, mFindings);
+        root.items("routes").forEach(node -> routes.read(node).ifPresent(builder::route));
+        builder.callerLimits(callerLimits(root));
+        builder.out(names(root, "dataCentresOut"), names(root, "targetsOut"));
         root.rejectUnknown();
-        return Catalogue.of(entries, dataCentresOut, targetsOut);
+        return builder.build();
     }
 
     // -- entries
@@ -80,9 +88,18 @@
                         hosts,
                         rules(scope),
                         limits(scope),
-                        scope.number("resendWindowSeconds", 600, 1, MAX_WINDOW_SECONDS),
-                        scope.decimal("probesPerSecond", 10, 0, 10_000),
-                        objectives(scope));
+                        scope.number(
+                                "resendWindowSeconds",
+                                ServiceEntry.DEFAULT_RESEND_WINDOW_SECONDS,
+                                1,
+                                MAX_WINDOW_SECONDS),
+                        scope.decimal(
+                                "probesPerSecond",
+                                ServiceEntry.DEFAULT_PROBES_PER_SECOND,
+                                0,
+                                10_000),
+                        objectives(scope),
+                        targets(scope));
         scope.rejectUnknown();
         return entry;
     }
@@ -192,6 +209,49 @@
         return objectives;
     }
 
+    private TargetFacts targets(final FieldScope entry) {
+        final Optional<FieldScope> found =
+                entry.node("targets").flatMap(node -> FieldScope.of(node, "targets", mFindings));
+        if (found.isEmpty()) {
+            return TargetFacts.NONE;
+        }
+        final FieldScope scope = found.get();
+        final TargetFacts facts =
+                new TargetFacts(
+                        (int) scope.number("connections", 0, 0, 1_000_000),
+                        scope.number("coldMillis", 0, 0, MAX_TIMEOUT_MILLIS),
+                        scope.decimal("coldPerSecond", 0, 0, 1_000_000),
+                        scope.text("healthPath").orElse(""));
+        scope.rejectUnknown();
+        return facts;
+    }
+
+    private CallerLimits callerLimits(final FieldScope root) {
+        final Optional<FieldScope> found =
+                root.node("callers").flatMap(node -> FieldScope.of(node, "callers", mFindings));
+        if (found.isEmpty()) {
+            return CallerLimits.DEFAULT;
+        }
+        final FieldScope scope = found.get();
+        final CallerLimits base = CallerLimits.DEFAULT;
+        final CallerLimits limits =
+                new CallerLimits(
+                        (int) scope.number("headBytes", base.headBytes(), 1, 1 << 20),
+                        scope.number("bodyBytes", base.bodyBytes(), 0, Long.MAX_VALUE),
+                        scope.number(
+                                "headTimeoutMillis",
+                                base.headTimeoutMillis(),
+                                1,
+                                MAX_TIMEOUT_MILLIS),
+                        scope.number(
+                                "idleTimeoutMillis",
+                                base.idleTimeoutMillis(),
+                                1,
+                                MAX_TIMEOUT_MILLIS));
+        scope.rejectUnknown();
+        return limits;
+    }
+
     private Set<String> names(final FieldScope root, final String field) {
         final Set<String> names = new HashSet<>();
         for (final String name : root.texts(field)) {
--- /dev/null
+++ b/src/main/java/io/bilberrylane/catalogue/OwnConfigurationFormat.java
@@ -0,0 +1,32 @@
+package io.bilberrylane.catalogue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+
+/** The format that {@code ctl apply} writes. */
+public final class OwnConfigurationFormat implements ConfigurationFormat {
+    @Override
+    public String kind() {
+        return ConfigurationDocument.KIND;
+    }
+
+    @Override
+    public String name() {
+        return ConfigurationDocument.NAME;
+    }
+
+    @Override
+    public Optional<String> outageKind() {
+        return Optional.empty();
+    }
+
+    @Override
+    public ConfigurationDocument document(final long version, final JsonNode spec) {
+        return ConfigurationDocument.read(spec);
+    }
+
+    @Override
+    public CatalogueCheck check(final String place, final String text) {
+        return CatalogueReader.read(place, text);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/catalogue/Route.java
@@ -0,0 +1,62 @@
+package io.bilberrylane.catalogue;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Where calls of one host name and path prefix go, and how they are treated.
+ *
+ * @param host the value of the Host header, in lower case and without a port
+ * @param pathPrefix begins the path of every call; ends with a slash
+ * @param parts the services that share the calls, at least one
+ * @param runRule how often a call may run
+ * @param timeoutMillis the longest time until the final answer, in milliseconds
+ * @param objectiveMillis the time within which an answer is of full use, in milliseconds
+ * @param attempts the most targets that one call may be sent to
+ * @param priority the place in queues; 0 goes first
+ * @param regions the only regions that calls may run in; every region when empty
+ */
+public record Route(
+        String host,
+        String pathPrefix,
+        List<WeightedService> parts,
+        RunRule runRule,
+        long timeoutMillis,
+        long objectiveMillis,
+        int attempts,
+        int priority,
+        Set<String> regions) {
+    /** Checks the parts and copies the collections. */
+    public Route {
+        Objects.requireNonNull(host, "host is null");
+        Objects.requireNonNull(pathPrefix, "pathPrefix is null");
+        Objects.requireNonNull(runRule, "runRule is null");
+        parts = List.copyOf(parts);
+        regions = Set.copyOf(regions);
+        if (parts.isEmpty() || parts.stream().mapToDouble(WeightedService::weight).sum() <= 0) {
+            throw new IllegalArgumentException("a route needs a service with a positive weight");
+        }
+        if (timeoutMillis < 1 || objectiveMillis < 1 || attempts < 1 || priority < 0) {
+            throw new IllegalArgumentException("a limit of the route is not positive");
+        }
+    }
+
+    /**
+     * Returns the service for one call.
+     *
+     * @param draw a number from 0 (inclusive) to 1 (exclusive)
+     * @return the service whose part holds the number
+     */
+    public String serviceAt(final double draw) {
+        final double total = parts.stream().mapToDouble(WeightedService::weight).sum();
+        double left = draw * total;
+        for (final WeightedService part : parts) {
+            left -= part.weight();
+            if (left < 0) {
+                return part.service();
+            }
+        }
+        return parts.get(parts.size() - 1).service();
+    }
+}
--- a/src/main/java/io/bilberrylane/catalogue/ServiceEntry.java
+++ b/src/main/java/io/bilberrylane/catalogue/ServiceEntry.java
@@ -15,6 +15,7 @@
  * @param resendWindowSeconds how long an idempotency key is remembered, in seconds
  * @param probesPerSecond probes that one target may get from the whole fleet in a second
  * @param objectives its service-level objectives
+ * @param targets what holds for each of its targets
  */
 public record ServiceEntry(
         String service,
@@ -25,7 +26,14 @@
         Limits limits,
         long resendWindowSeconds,
         double probesPerSecond,
-        Objectives objectives) {
+        Objectives objectives,
+        TargetFacts targets) {
+    /** How long an idempotency key is remembered unless the entry says otherwise, in seconds. */
+    static final long DEFAULT_RESEND_WINDOW_SECONDS = 600;
+
+    /** Probes that one target may get in a second unless the entry says otherwise. */
+    static final double DEFAULT_PROBES_PER_SECOND = 10;
+
     private static final List<String> SAFE_METHODS = List.of("GET", "HEAD", "OPTIONS");
 
     /** Checks the parts and copies the lists. */
@@ -35,10 +43,32 @@
         Objects.requireNonNull(serviceClass, "serviceClass is null");
         Objects.requireNonNull(limits, "limits is null");
         Objects.requireNonNull(objectives, "objectives is null");
+        Objects.requireNonNull(targets, "targets is null");
         hosts = List.copyOf(hosts);
         idempotent = List.copyOf(idempotent);
     }
 
+    /**
+     * Returns an entry that says nothing but what its targets bear.
+     *
+     * @param service its name
+     * @param targets what holds for each of its targets
+     * @return an entry with defaults
+     */
+    public static ServiceEntry of(final String service, final TargetFacts targets) {
+        return new ServiceEntry(
+                service,
+                "",
+                ServiceClass.STANDARD,
+                List.of(),
+                List.of(),
+                Limits.DEFAULT,
+                DEFAULT_RESEND_WINDOW_SECONDS,
+                DEFAULT_PROBES_PER_SECOND,
+                Objectives.DEFAULT,
+                targets);
+    }
+
     /**
      * Returns whether a call may run more than once.
      *
--- a/src/main/java/io/bilberrylane/cli/Main.java
+++ b/src/main/java/io/bilberrylane/cli/Main.java
@@ -72,6 +72,7 @@
                         new CtlStatusCommand(),
                         new LoadCommand(),
                         new CapacityCommand(),
+                        new RehearsalCommand(),
                         new PlatformStandInCommand(),
                         new TargetStandInCommand())) {
             commands.put(command.name(), command);
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/NodeSettingsReader.java
@@ -0,0 +1,165 @@
+package io.bilberrylane.cli;
+
+import io.bilberrylane.http.InterfaceProfile;
+import io.bilberrylane.node.NodeAddresses;
+import io.bilberrylane.node.NodeSettings;
+import io.bilberrylane.node.OwnProfile;
+import io.bilberrylane.platform.PlatformProfile;
+import io.bilberrylane.policy.FleetBounds;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The settings of a node as flags. */
+final class NodeSettingsReader {
+    private NodeSettingsReader() {}
+
+    static List<Flag> flags() {
+        final FleetBounds bounds = FleetBounds.DEFAULT;
+        return List.of(
+                Flag.of("config", "FILE", "a YAML file of these settings", "none"),
+                Flag.required("host", "NAME", "host name, unique in the fleet"),
+                Flag.required("data-centre", "NAME", "data centre of this host"),
+                Flag.of(
+                        "regions",
+                        "DC=REGION,...",
+                        "the region of each data centre; none when there is one region",
+                        "none"),
+                Flag.of(
+                        "service",
+                        "NAME",
+                        "the service beside this node, told to targets; none when there is none",
+                        "none"),
+                Flag.of("caller-address", "IP:PORT", "where callers connect", "127.0.0.1:0"),
+                Flag.of("peer-address", "IP:PORT", "where other nodes connect", "127.0.0.1:0"),
+                Flag.of(
+                        "target-address",
+                        "IP:PORT",
+                        "where the target announces itself and sends its own calls",
+                        "127.0.0.1:0"),
+                Flag.of(
+                        "operator-address",
+                        "IP:PORT",
+                        "serves /healthz, /readyz, /metrics and /status",
+                        "127.0.0.1:0"),
+                Flag.of(
+                        "readiness-address",
+                        "IP:PORT",
+                        "serves /readyz besides; none for the operators' address only",
+                        "none"),
+                Flag.required("platform", "URL", "the platform's object API, http://IP:PORT"),
+                Flag.of(
+                        "interface",
+                        "own|platform",
+                        "how callers, targets and operators speak to the node",
+                        "own"),
+                Flag.of(
+                        "served-address",
+                        "IP:PORT",
+                        "the only address that the target may name; any for every address",
+                        "any"),
+                Flag.of(
+                        "announcement-seconds",
+                        "S",
+                        "how often targets of the platform say that they live, in seconds",
+                        "1"),
+                Flag.of("workers", "COUNT", "worker threads", "1"),
+                Flag.of(
+                        "drain-millis",
+                        "MS",
+                        "longest time for calls in progress when leaving, in milliseconds",
+                        "30000"),
+                Flag.of(
+                        "cold-overage",
+                        "FACTOR",
+                        "how many times its rate a cold target may get",
+                        String.valueOf(bounds.coldOverage())),
+                Flag.of(
+                        "cold-slack",
+                        "COUNT",
+                        "requests per second that a cold target may get besides",
+                        String.valueOf(bounds.coldSlack())),
+                Flag.of(
+                        "retry-ratio",
+                        "PART",
+                        "arrivals at a second target, as a part of a service's calls",
+                        String.valueOf(bounds.retryRatio())),
+                Flag.of(
+                        "retry-window-seconds",
+                        "S",
+                        "time over which they are counted, in seconds",
+                        String.valueOf(bounds.retryWindowMillis() / 1_000)),
+                Flag.of(
+                        "retry-slack",
+                        "COUNT",
+                        "arrivals at a second target in that time besides, over the whole fleet",
+                        String.valueOf(bounds.retrySlack())),
+                Flag.of(
+                        "probes-per-second",
+                        "RATE",
+                        "questions per second that one target may get",
+                        String.valueOf(bounds.probesPerSecond())));
+    }
+
+    static NodeSettings read(final Settings settings) {
+        final NodeSettings read =
+                new NodeSettings(
+                        settings.text("host"),
+                        settings.text("data-centre"),
+                        regions(settings.noneOr("regions").orElse("")),
+                        settings.noneOr("service").orElse(""),
+                        addresses(settings),
+                        settings.httpUri("platform"),
+                        (int) settings.number("workers", 1, 64),
+                        settings.number("drain-millis", 0, 3_600_000),
+                        bounds(settings),
+                        profile(settings));
+        settings.orThrow();
+        return read;
+    }
+
+    private static NodeAddresses addresses(final Settings settings) {
+        return new NodeAddresses(
+                settings.address("caller-address"),
+                settings.address("peer-address"),
+                settings.address("target-address"),
+                settings.address("operator-address"),
+                settings.noneOr("readiness-address")
+                        .map(given -> settings.address("readiness-address")));
+    }
+
+    private static FleetBounds bounds(final Settings settings) {
+        return new FleetBounds(
+                settings.decimal("cold-overage", 0, 1_000),
+                settings.decimal("cold-slack", 0, 1_000_000),
+                settings.decimal("retry-ratio", 0, 1),
+                Math.round(settings.decimal("retry-window-seconds", 0.001, 3_600) * 1_000),
+                settings.decimal("retry-slack", 0, 1_000_000),
+                settings.decimal("probes-per-second", 0, 1_000_000));
+    }
+
+    private static InterfaceProfile profile(final Settings settings) {
+        final String served = settings.text("served-address");
+        final long beatMillis =
+                Math.max(1, Math.round(settings.decimal("announcement-seconds", 0, 60) * 1_000));
+        return settings.choice("interface", List.of("own", "platform")).equals("platform")
+                ? PlatformProfile.of(served.equals("any") ? "" : served, beatMillis)
+                : OwnProfile.create();
+    }
+
+    private static Map<String, String> regions(final String text) {
+        final Map<String, String> regions = new LinkedHashMap<>();
+        for (final String part : text.split(",")) {
+            final int equals = part.indexOf('=');
+            if (equals > 0) {
+                regions.put(part.substring(0, equals).trim(), part.substring(equals + 1).trim());
+            }
+        }
+        return regions;
+    }
+
+    static Optional<String> configFile(final Settings settings) {
+        return settings.noneOr("config");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/RehearsalCommand.java
@@ -0,0 +1,131 @@
+package io.bilberrylane.cli;
+
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.base.ResourceCloser;
+import io.bilberrylane.ctl.CatalogueStore;
+import io.bilberrylane.net.HttpCaller;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.node.Node;
+import io.bilberrylane.node.NodeAddresses;
+import io.bilberrylane.node.NodeSettings;
+import io.bilberrylane.node.OwnProfile;
+import io.bilberrylane.platform.PlatformClient;
+import io.bilberrylane.platform.PlatformProfile;
+import io.bilberrylane.policy.FleetBounds;
+import io.bilberrylane.standin.PlatformFaults;
+import io.bilberrylane.standin.PlatformStandIn;
+import io.bilberrylane.standin.TargetSettings;
+import io.bilberrylane.standin.TargetStandIn;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+
+/**
+ * Starts two nodes with targets in this process and makes a few calls, so that a class archive made
+ * at its end holds what a node needs.
+ */
+final class RehearsalCommand implements Command {
+    private static final int NODES = 2;
+    private static final int CALLS = 40;
+    private static final long TRY_MILLIS = 100;
+    private static final long LIMIT_MILLIS = 15_000;
+    private static final String CATALOGUE =
+            "schema: 1\nservices:\n  - {service: calendar, owner: rehearsal}\n";
+
+    @Override
+    public String name() {
+        return "rehearsal";
+    }
+
+    @Override
+    public String help() {
+        return "start nodes and stand-ins in this process, make a few calls, and end";
+    }
+
+    @Override
+    public List<Flag> flags() {
+        return List.of();
+    }
+
+    @Override
+    public int run(final Settings settings, final List<String> arguments) {
+        try (ResourceCloser closer = ResourceCloser.empty()) {
+            PlatformProfile.of("", 1_000).format().check("rehearsal", "{}");
+            final Transport transport = closer.add(Transport.of(1));
+            final PlatformStandIn platform =
+                    closer.add(PlatformStandIn.start(transport, loopback(), PlatformFaults.NONE));
+            final URI uri = URI.create("http://127.0.0.1:" + platform.address().getPort());
+            final List<Node> nodes = new ArrayList<>();
+            for (int i = 0; i < NODES; i++) {
+                nodes.add(closer.add(Node.start(nodeSettings("host-" + i, uri))));
+                closer.add(TargetStandIn.start(transport, targetSettings(nodes.get(i))));
+            }
+            CatalogueStore.of(PlatformClient.of(transport, uri, 2_000))
+                    .apply(CATALOGUE, "rehearsal", -1);
+            return makeCalls(HttpCaller.of(transport), nodes)
+                    ? 0
+                    : ErrorCode.INVARIANT_VIOLATED.exitStatus();
+        }
+    }
+
+    private static boolean makeCalls(final HttpCaller caller, final List<Node> nodes) {
+        final long end = System.nanoTime() + LIMIT_MILLIS * 1_000_000;
+        int answered = 0;
+        for (int i = 0; answered < CALLS && System.nanoTime() - end < 0; i++) {
+            final InetSocketAddress address = nodes.get(i % NODES).callerAddress();
+            final HttpMethod method = i % 3 == 0 ? HttpMethod.POST : HttpMethod.GET;
+            if (isAnswered(caller, address, method)) {
+                answered++;
+            } else {
+                pause();
+            }
+        }
+        return answered == CALLS;
+    }
+
+    private static boolean isAnswered(
+            final HttpCaller caller, final InetSocketAddress address, final HttpMethod method) {
+        try {
+            return caller.call(address, method, "/", "body", 1_000, "calendar").join().isSuccess();
+        } catch (CompletionException e) {
+            return false;
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(TRY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static NodeSettings nodeSettings(final String host, final URI platform) {
+        return new NodeSettings(
+                host,
+                "dc-" + host,
+                Map.of(),
+                "calendar",
+                new NodeAddresses(
+                        loopback(), loopback(), loopback(), loopback(), Optional.of(loopback())),
+                platform,
+                1,
+                1_000,
+                FleetBounds.DEFAULT,
+                OwnProfile.create());
+    }
+
+    private static TargetSettings targetSettings(final Node node) {
+        return new TargetSettings(
+                "calendar", loopback(), loopback(), node.targetAddress(), 6, 50, 6, 0, 1_000);
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress("127.0.0.1", 0);
+    }
+}
--- a/src/main/java/io/bilberrylane/cli/Settings.java
+++ b/src/main/java/io/bilberrylane/cli/Settings.java
@@ -6,26 +6,47 @@
 import io.bilberrylane.node.Addresses;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import net.sourceforge.argparse4j.inf.Namespace;
 
-/** Reads settings from flags, then environment variables, then defaults; collects findings. */
+/**
+ * Reads settings from flags, then environment variables, then a file, then defaults; collects
+ * findings.
+ */
 final class Settings {
     private final Namespace mNamespace;
     private final Map<String, String> mEnvironment;
     private final Map<String, Flag> mFlags;
+    private final Map<String, String> mFile;
     private final List<Finding> mFindings = new ArrayList<>();
 
     Settings(
             final Namespace namespace,
             final Map<String, String> environment,
             final Map<String, Flag> flags) {
+        this(namespace, environment, flags, Map.of());
+    }
+
+    private Settings(
+            final Namespace namespace,
+            final Map<String, String> environment,
+            final Map<String, Flag> flags,
+            final Map<String, String> file) {
         mNamespace = namespace;
         mEnvironment = environment;
         mFlags = flags;
+        mFile = file;
+    }
+
+    /** Returns these settings with those of a file below flags and environment variables. */
+    Settings withFile(final Path path) {
+        return new Settings(
+                mNamespace, mEnvironment, mFlags, SettingsFile.read(path, mFlags.keySet()));
     }
 
     // -- values
@@ -47,6 +68,25 @@
         return raw(mFlags.get(name));
     }
 
+    /** Returns a value, or nothing when it is the word "none" or blank. */
+    Optional<String> noneOr(final String name) {
+        return Optional.of(raw(mFlags.get(name)).trim())
+                .filter(value -> !value.isEmpty() && !value.equals("none"));
+    }
+
+    /** Returns a value that must be one of a few words. */
+    String choice(final String name, final List<String> words) {
+        return parsed(
+                name,
+                text -> {
+                    if (!words.contains(text)) {
+                        throw new IllegalArgumentException("'" + text + "' is none of " + words);
+                    }
+                    return text;
+                },
+                words.get(0));
+    }
+
     InetSocketAddress address(final String name) {
         return parsed(name, Addresses::parse, new InetSocketAddress(0));
     }
@@ -119,7 +159,8 @@
         if (given != null) {
             return given;
         }
-        return mEnvironment.getOrDefault(flag.variable(), flag.fallback());
+        return mEnvironment.getOrDefault(
+                flag.variable(), mFile.getOrDefault(flag.name(), flag.fallback()));
     }
 
     private <T> T parsed(final String name, final Function<String, T> parser, final T placeholder) {
--- /dev/null
+++ b/src/main/java/io/bilberrylane/cli/SettingsReload.java
@@ -0,0 +1,86 @@
+package io.bilberrylane.cli;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.FindingsException;
+import io.bilberrylane.node.NodeSettings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import sun.misc.Signal;
+
+/** Reads the settings file again on SIGHUP, and when it changes without a signal. */
+final class SettingsReload {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long CHECK_SECONDS = 2;
+
+    private final Path mFile;
+    private final Supplier<NodeSettings> mReader;
+    private final Consumer<NodeSettings> mTaker;
+    private String mText;
+
+    private SettingsReload(
+            final Path file,
+            final Supplier<NodeSettings> reader,
+            final Consumer<NodeSettings> taker) {
+        mFile = file;
+        mReader = reader;
+        mTaker = taker;
+        mText = text();
+    }
+
+    static void start(
+            final Path file,
+            final Supplier<NodeSettings> reader,
+            final Consumer<NodeSettings> taker) {
+        final SettingsReload reload = new SettingsReload(file, reader, taker);
+        final ScheduledExecutorService executor =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            final Thread thread = new Thread(task, "settings");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        executor.scheduleWithFixedDelay(
+                reload::checkChange, CHECK_SECONDS, CHECK_SECONDS, TimeUnit.SECONDS);
+        Signal.handle(new Signal("HUP"), signal -> executor.execute(reload::reload));
+    }
+
+    private void checkChange() {
+        if (!text().equals(mText)) {
+            reload();
+        }
+    }
+
+    private void reload() {
+        mText = text();
+        try {
+            mTaker.accept(mReader.get());
+            LOGGER.atInfo().log("settings read again from %s", mFile);
+        } catch (FindingsException e) {
+            e.findings()
+                    .forEach(
+                            finding ->
+                                    LOGGER.atSevere().log(
+                                            "settings not taken, the old ones stay: %s",
+                                            finding.line()));
+        } catch (BilberrylaneException e) {
+            LOGGER.atSevere().log("settings not taken, the old ones stay: %s", e.getMessage());
+        }
+    }
+
+    private String text() {
+        try {
+            return Files.readString(mFile);
+        } catch (IOException e) {
+            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "settings file not read: %s", e);
+            return mText == null ? "" : mText;
+        }
+    }
+}
--- a/src/main/java/io/bilberrylane/http/CallRouter.java
+++ b/src/main/java/io/bilberrylane/http/CallRouter.java
@@ -1,6 +1,6 @@
 package io.bilberrylane.http;
 
-import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.catalogue.Route;
 import io.bilberrylane.peer.AnswerSink;
 import io.bilberrylane.peer.BodySink;
 import io.bilberrylane.peer.CallHead;
@@ -12,11 +12,11 @@
     /**
      * Routes a call.
      *
-     * @param entry the catalogue entry
+     * @param route the catalogue's route
      * @param head the call; its identity is replaced for each attempt
      * @param executor runs every event of the sink
      * @param sink receives the answer
      * @return takes the body once the call is admitted
      */
-    BodySink route(ServiceEntry entry, CallHead head, EventExecutor executor, AnswerSink sink);
+    BodySink route(Route route, CallHead head, EventExecutor executor, AnswerSink sink);
 }
--- a/src/main/java/io/bilberrylane/http/Headers.java
+++ b/src/main/java/io/bilberrylane/http/Headers.java
@@ -1,6 +1,5 @@
 package io.bilberrylane.http;
 
-import io.bilberrylane.peer.AnswerHead;
 import io.bilberrylane.peer.HeaderField;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -16,7 +15,7 @@
 /** The header fields of the project and the rules for passing fields on. */
 public final class Headers {
     /** Says whether a refused or failed call was run: {@code not-run} or {@code unknown}. */
-    public static final String OUTCOME = AnswerHead.OUTCOME;
+    public static final String OUTCOME = "Bilberrylane-Outcome";
 
     /** Carries the error code of a refused or failed call. */
     public static final String ERROR = "Bilberrylane-Error";
@@ -50,8 +49,7 @@
                     "trailer",
                     "transfer-encoding",
                     "upgrade",
-                    "expect",
-                    "bilberrylane-call-id");
+                    "expect");
 
     private Headers() {}
 
@@ -59,14 +57,15 @@
      * Returns the fields that pass through a node.
      *
      * @param headers the fields of one message
+     * @param dropped further names that do not pass, in lower case
      * @return all but those that concern only one connection
      */
-    public static List<HeaderField> endToEnd(final HttpHeaders headers) {
+    public static List<HeaderField> endToEnd(final HttpHeaders headers, final Set<String> dropped) {
         final Set<String> named = connectionOptions(headers);
         final List<HeaderField> fields = new ArrayList<>();
         for (final Map.Entry<String, String> entry : headers) {
             final String name = entry.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
+            if (!HOP_BY_HOP.contains(name) && !named.contains(name) && !dropped.contains(name)) {
                 fields.add(new HeaderField(entry.getKey(), entry.getValue()));
             }
         }
--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.http;
 
+import io.bilberrylane.catalogue.CallerLimits;
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.net.Transport;
 import io.netty.channel.Channel;
@@ -30,10 +31,20 @@
             final CallRouter router,
             final Optional<LocalEndpoint> local,
             final String localPrefix,
+            final HeaderNames names,
+            final String service,
             final IngressMetrics metrics) {
         mSettings =
                 new IngressSettings(
-                        limits, catalogue, router, local, localPrefix, () -> mLeaving, metrics);
+                        limits,
+                        catalogue,
+                        router,
+                        local,
+                        localPrefix,
+                        () -> mLeaving,
+                        names,
+                        service,
+                        metrics);
     }
 
     /**
@@ -45,6 +56,8 @@
      * @param router brings calls to targets
      * @param local answers requests to the node itself, if this address has any
      * @param localPrefix the path prefix of requests to the node itself
+     * @param names the header fields that callers use
+     * @param service the service beside the node, told to targets; may be empty
      * @param metrics counts calls and their ends
      * @return a bound server
      */
@@ -55,9 +68,19 @@
             final CallRouter router,
             final Optional<LocalEndpoint> local,
             final String localPrefix,
+            final HeaderNames names,
+            final String service,
             final IngressMetrics metrics) {
         final HttpServer server =
-                new HttpServer(HttpLimits.DEFAULT, catalogue, router, local, localPrefix, metrics);
+                new HttpServer(
+                        HttpLimits.DEFAULT,
+                        catalogue,
+                        router,
+                        local,
+                        localPrefix,
+                        names,
+                        service,
+                        metrics);
         server.listen(transport, address);
         return server;
     }
@@ -83,6 +106,8 @@
                 },
                 Optional.of(Objects.requireNonNull(endpoint, "endpoint is null")),
                 "/",
+                HeaderNames.OWN,
+                "",
                 IngressMetrics.NONE);
     }
 
@@ -112,10 +137,11 @@
         mConnections.add(channel);
         final AnswerEncoder encoder = new AnswerEncoder();
         final IngressHandler handler = new IngressHandler(mSettings, encoder);
+        final CallerLimits callerLimits = mSettings.catalogue().get().callerLimits();
         final HttpDecoderConfig config =
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(mSettings.limits().lineBytes())
-                        .setMaxHeaderSize(mSettings.limits().headBytes())
+                        .setMaxInitialLineLength(callerLimits.headBytes())
+                        .setMaxHeaderSize(callerLimits.headBytes())
                         .setMaxChunkSize(MAX_CHUNK_BYTES);
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(config, handler::onHeadBytes))
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.catalogue.Limits;
+import io.bilberrylane.catalogue.Route;
 import io.bilberrylane.catalogue.ServiceEntry;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.AnswerHead;
@@ -30,6 +33,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +49,7 @@
     private static final long MAX_DISCARD_BYTES = 64 * 1024;
 
     private static final long LINGER_MILLIS = 1_000;
+    private static final long NOT_READY_RETRY_MILLIS = 300;
 
     private final ChannelHandlerContext mCtx;
     private final IngressHandler mHandler;
@@ -82,29 +87,46 @@
         final long bodyBytes = bodyBytes();
         if (mSettings.local().isPresent() && mRequest.uri().startsWith(mSettings.localPrefix())) {
             mBodyLimitBytes = LocalEndpoint.MAX_BODY_BYTES;
-            mBody = LocalExchange.open(mSettings.local().get(), head("", bodyBytes, true, 0), this);
+            mBody = LocalExchange.open(mSettings.local().get(), localHead(bodyBytes), this);
             readBodyEnd(bodyBytes);
             return;
         }
-        final Optional<ServiceEntry> entry = entry();
-        if (entry.isEmpty()) {
-            final boolean ready = !mSettings.catalogue().get().services().isEmpty();
-            refuse(ready ? ErrorCode.SERVICE_NOT_FOUND : ErrorCode.NOT_READY, true, 0);
+        final Catalogue catalogue = mSettings.catalogue().get();
+        final String path = mRequest.uri().split("\\?", 2)[0];
+        final Optional<Route> route = route(catalogue, path);
+        if (route.isEmpty()) {
+            final boolean ready = !catalogue.services().isEmpty();
+            refuse(
+                    ready ? ErrorCode.SERVICE_NOT_FOUND : ErrorCode.NOT_READY,
+                    true,
+                    ready ? 0 : NOT_READY_RETRY_MILLIS);
             return;
         }
-        mService = entry.get().service();
-        mBodyLimitBytes = entry.get().limits().bodyBytes();
+        mService = route.get().serviceAt(mHandler.draw());
+        final Optional<ServiceEntry> entry = catalogue.service(mService);
+        final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
+        mBodyLimitBytes = Math.min(limits.bodyBytes(), catalogue.callerLimits().bodyBytes());
         if (bodyBytes > mBodyLimitBytes) {
             refuse(ErrorCode.BODY_TOO_LARGE, true, 0);
             return;
         }
-        final String path = mRequest.uri().split("\\?", 2)[0];
-        final boolean idempotent = entry.get().isIdempotent(mRequest.method().name(), path);
-        final CallHead head = head(mService, bodyBytes, idempotent, timeoutMillis(entry.get()));
-        mBody = mSettings.router().route(entry.get(), head, mCtx.executor(), this);
+        final boolean idempotent = isIdempotent(route.get(), entry, path);
+        final CallHead head =
+                head(mService, bodyBytes, idempotent, timeoutMillis(route.get()), route.get());
+        mBody = mSettings.router().route(route.get(), head, mCtx.executor(), this);
         readBodyEnd(bodyBytes);
     }
 
+    private boolean isIdempotent(
+            final Route route, final Optional<ServiceEntry> entry, final String path) {
+        return switch (route.runRule()) {
+            case REPEATABLE -> true;
+            case ONCE -> false;
+            case BY_METHOD ->
+                    entry.map(e -> e.isIdempotent(mRequest.method().name(), path)).orElse(false);
+        };
+    }
+
     /** Reads the empty end of a request without a body, and then watches for the caller's leave. */
     private void readBodyEnd(final long bodyBytes) {
         if (mDone) {
@@ -117,13 +139,9 @@
         }
     }
 
-    private Optional<ServiceEntry> entry() {
-        final String named = mRequest.headers().get(Headers.SERVICE);
-        if (named != null) {
-            return mSettings.catalogue().get().service(named);
-        }
+    private Optional<Route> route(final Catalogue catalogue, final String path) {
         final String host = mRequest.headers().get(HttpHeaderNames.HOST, "");
-        return mSettings.catalogue().get().forHost(host);
+        return catalogue.route(mRequest.headers().get(Headers.SERVICE, host), path);
     }
 
     private long bodyBytes() {
@@ -133,9 +151,9 @@
         return HttpUtil.getContentLength(mRequest, 0L);
     }
 
-    private long timeoutMillis(final ServiceEntry entry) {
-        final long most = entry.limits().timeoutMillis();
-        final String asked = mRequest.headers().get(Headers.TIMEOUT_MILLIS);
+    private long timeoutMillis(final Route route) {
+        final long most = route.timeoutMillis();
+        final String asked = mRequest.headers().get(mSettings.names().timeoutMillis());
         if (asked == null) {
             return most;
         }
@@ -150,18 +168,49 @@
             final String service,
             final long bodyBytes,
             final boolean idempotent,
-            final long timeoutMillis) {
+            final long timeoutMillis,
+            final Route route) {
+        final HeaderNames names = mSettings.names();
         return new CallHead(
                 "",
                 service,
                 mRequest.method().name(),
                 mRequest.uri(),
-                Headers.endToEnd(mRequest.headers()),
+                headers(),
                 timeoutMillis,
                 1,
                 idempotent,
                 mRequest.headers().get(Headers.IDEMPOTENCY_KEY, ""),
-                bodyBytes);
+                bodyBytes,
+                names.callersNameRequests() ? mRequest.headers().get(names.requestId(), "") : "",
+                route.priority(),
+                route.objectiveMillis());
+    }
+
+    private List<HeaderField> headers() {
+        final HeaderNames names = mSettings.names();
+        final List<HeaderField> fields = Headers.endToEnd(mRequest.headers(), names.setByNodes());
+        if (!mSettings.service().isEmpty()) {
+            fields.add(new HeaderField(names.callerService(), mSettings.service()));
+        }
+        return fields;
+    }
+
+    private CallHead localHead(final long bodyBytes) {
+        return new CallHead(
+                "",
+                "",
+                mRequest.method().name(),
+                mRequest.uri(),
+                List.of(),
+                0,
+                1,
+                true,
+                "",
+                bodyBytes,
+                "",
+                0,
+                0);
     }
 
     // -- the caller's side
@@ -403,12 +452,18 @@
         response.headers().set(Headers.ERROR, code.wireName());
         response.headers().set(Headers.OUTCOME, outcome);
         if (retryAfterMillis > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, (retryAfterMillis + 999) / 1_000);
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter(retryAfterMillis));
         }
         setConnection(response);
         finish(mCtx.writeAndFlush(response));
     }
 
+    private String retryAfter(final long millis) {
+        return mSettings.names().fractionalSeconds()
+                ? String.format(Locale.ROOT, "%.3f", millis / 1_000.0)
+                : String.valueOf((millis + 999) / 1_000);
+    }
+
     private void finish(final io.netty.channel.ChannelFuture written) {
         mDone = true;
         if (mKeepAlive) {
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.catalogue.CallerLimits;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderException;
@@ -14,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 /** Serves one connection of a caller: one request after another, in order. */
@@ -22,6 +24,7 @@
 
     private final IngressSettings mSettings;
     private final AnswerEncoder mEncoder;
+    private final Random mRandom = new Random();
     private ChannelHandlerContext mCtx;
     private InboundExchange mExchange;
     private HttpRequest mNext;
@@ -80,6 +83,10 @@
         }
     }
 
+    double draw() {
+        return mRandom.nextDouble();
+    }
+
     boolean isClosing() {
         return mSettings.isLeaving();
     }
@@ -163,7 +170,7 @@
         }
         if (bodyRemains) {
             mDiscarding = true;
-            startTimer(mSettings.limits().headTimeoutMillis());
+            startTimer(callerLimits().headTimeoutMillis());
             mCtx.read();
             return;
         }
@@ -179,12 +186,12 @@
     /** Called by the decoder when the first bytes of a head arrive. */
     void onHeadBytes() {
         if (mExchange == null) {
-            startTimer(mSettings.limits().headTimeoutMillis());
+            startTimer(callerLimits().headTimeoutMillis());
         }
     }
 
     private void awaitRequest() {
-        startTimer(mSettings.limits().idleTimeoutMillis());
+        startTimer(callerLimits().idleTimeoutMillis());
         mCtx.read();
     }
 
@@ -197,6 +204,10 @@
         }
     }
 
+    private CallerLimits callerLimits() {
+        return mSettings.catalogue().get().callerLimits();
+    }
+
     private void cancelTimer() {
         if (mTimer != null) {
             mTimer.cancel(false);
--- a/src/main/java/io/bilberrylane/http/IngressSettings.java
+++ b/src/main/java/io/bilberrylane/http/IngressSettings.java
@@ -24,11 +24,15 @@
         Optional<LocalEndpoint> local,
         String localPrefix,
         BooleanSupplier leaving,
+        HeaderNames names,
+        String service,
         IngressMetrics metrics) {
     IngressSettings {
         Objects.requireNonNull(limits, "limits is null");
         Objects.requireNonNull(catalogue, "catalogue is null");
         Objects.requireNonNull(router, "router is null");
+        Objects.requireNonNull(names, "names is null");
+        Objects.requireNonNull(service, "service is null");
     }
 
     boolean isLeaving() {
--- a/src/main/java/io/bilberrylane/http/LocalExchange.java
+++ b/src/main/java/io/bilberrylane/http/LocalExchange.java
@@ -57,7 +57,7 @@
         final LocalAnswer answer = mEndpoint.answer(mHead.method(), path, mBody.toString());
         final byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
         mSink.onHead(
-                new AnswerHead(
+                AnswerHead.of(
                         answer.status(),
                         List.of(
                                 new HeaderField("Content-Type", answer.contentType()),
--- a/src/main/java/io/bilberrylane/membership/Swim.java
+++ b/src/main/java/io/bilberrylane/membership/Swim.java
@@ -17,22 +17,28 @@
 public final class Swim {
     private static final int MAX_SELF_DOUBT = 8;
     private static final int PAUSE_PERIODS = 3;
+    private static final int NOTICE_ROUNDS = 4;
+    private static final int NOTICES_PER_ROUND = 64;
+    private static final long NOTICE_PAUSE_NANOS = 200_000_000L;
 
     private final SwimSettings mSettings;
     private final MemberTable mTable;
     private final Random mRandom;
     private final List<String> mOrder = new ArrayList<>();
     private final Map<Long, Relay> mRelays = new HashMap<>();
+    private final Map<String, ConfigurationVersion> mHeard = new HashMap<>();
     private long mSequence = 1;
     private long mPeriodStartNanos;
     private long mLastTickNanos;
     private boolean mStarted;
+    private int mNoticesLeft;
+    private long mLastNoticeNanos;
     private String mSubject = "";
     private long mSubjectSequence;
     private boolean mIndirectSent;
     private int mSelfDoubt;
     private long mSeenRefutations;
-    private long mConfigurationVersion;
+    private ConfigurationVersion mConfigurationVersion = ConfigurationVersion.NONE;
 
     private record Relay(String asker, long askerSequence, long createdNanos) {}
 
@@ -69,8 +75,17 @@
      *
      * @param version the version in force at the owner
      */
-    public void tellConfigurationVersion(final long version) {
-        mConfigurationVersion = Math.max(mConfigurationVersion, version);
+    public void tellConfigurationVersion(final ConfigurationVersion version) {
+        mConfigurationVersion = mConfigurationVersion.newest(version);
+    }
+
+    /**
+     * Tells members at once that the configuration has changed, and again a few times those that
+     * were not heard of with the new version.
+     */
+    public void announceConfiguration() {
+        mNoticesLeft = NOTICE_ROUNDS;
+        mLastNoticeNanos = 0;
     }
 
     // -- time
@@ -91,6 +106,7 @@
         mTable.expire(suspicionNanos(), nowNanos);
         mRelays.values()
                 .removeIf(relay -> nowNanos - relay.createdNanos() > mSettings.periodNanos() * 4);
+        sendNotices(nowNanos, out);
         if (nowNanos - mPeriodStartNanos >= mSettings.periodNanos() * (1 + mSelfDoubt / 2)) {
             endPeriod(nowNanos);
             startPeriod(nowNanos, out);
@@ -101,6 +117,31 @@
         return out;
     }
 
+    private void sendNotices(final long nowNanos, final List<Outgoing> out) {
+        if (mNoticesLeft == 0
+                || mLastNoticeNanos != 0 && nowNanos - mLastNoticeNanos < NOTICE_PAUSE_NANOS) {
+            return;
+        }
+        mNoticesLeft--;
+        mLastNoticeNanos = nowNanos;
+        final List<Member> behind =
+                new ArrayList<>(
+                        mTable.members().stream()
+                                .filter(Member::isPresent)
+                                .filter(member -> !isSelf(member))
+                                .filter(this::isBehind)
+                                .toList());
+        Collections.shuffle(behind, mRandom);
+        behind.stream()
+                .limit(NOTICES_PER_ROUND)
+                .forEach(member -> out.add(ping(member, mSequence++)));
+    }
+
+    private boolean isBehind(final Member member) {
+        return mHeard.getOrDefault(member.host(), ConfigurationVersion.NONE)
+                .isBehind(mConfigurationVersion);
+    }
+
     private void restart(final long nowNanos) {
         if (mStarted) {
             doubt(1);
@@ -197,6 +238,7 @@
      */
     public List<Outgoing> receive(final SwimMessage message, final long nowNanos) {
         mTable.merge(message.updates(), nowNanos);
+        mHeard.merge(message.from(), message.configurationVersion(), ConfigurationVersion::newest);
         return switch (message) {
             case SwimMessage.Ping ping -> onPing(ping);
             case SwimMessage.Ack ack -> onAck(ack);
--- a/src/main/java/io/bilberrylane/membership/SwimMessage.java
+++ b/src/main/java/io/bilberrylane/membership/SwimMessage.java
@@ -14,9 +14,9 @@
     /**
      * Returns the version of the configuration in force at the sender.
      *
-     * @return 0 when it has none
+     * @return NONE when it has none
      */
-    long configurationVersion();
+    ConfigurationVersion configurationVersion();
 
     /**
      * Returns what the sender passes on.
@@ -33,7 +33,11 @@
      * @param configurationVersion the configuration in force at the sender
      * @param updates what the sender passes on
      */
-    record Ping(String from, long sequence, long configurationVersion, List<Member> updates)
+    record Ping(
+            String from,
+            long sequence,
+            ConfigurationVersion configurationVersion,
+            List<Member> updates)
             implements SwimMessage {
         /** Copies the updates. */
         public Ping {
@@ -49,7 +53,11 @@
      * @param configurationVersion the configuration in force at the sender
      * @param updates what the sender passes on
      */
-    record Ack(String from, long sequence, long configurationVersion, List<Member> updates)
+    record Ack(
+            String from,
+            long sequence,
+            ConfigurationVersion configurationVersion,
+            List<Member> updates)
             implements SwimMessage {
         /** Copies the updates. */
         public Ack {
@@ -70,7 +78,7 @@
             String from,
             long sequence,
             String subject,
-            long configurationVersion,
+            ConfigurationVersion configurationVersion,
             List<Member> updates)
             implements SwimMessage {
         /** Copies the updates. */
--- a/src/main/java/io/bilberrylane/net/HttpCaller.java
+++ b/src/main/java/io/bilberrylane/net/HttpCaller.java
@@ -59,6 +59,27 @@
             final String uri,
             final String body,
             final long timeoutMillis) {
+        return call(address, method, uri, body, timeoutMillis, address.getHostString());
+    }
+
+    /**
+     * Makes a call to a named host.
+     *
+     * @param address where to connect
+     * @param method the method
+     * @param uri the request target
+     * @param body the body, possibly empty
+     * @param timeoutMillis the longest time for the call, in milliseconds
+     * @param host the value of the Host header
+     * @return completes with the answer, or fails when there is none in time
+     */
+    public CompletableFuture<HttpReply> call(
+            final InetSocketAddress address,
+            final HttpMethod method,
+            final String uri,
+            final String body,
+            final long timeoutMillis,
+            final String host) {
         final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         final ChannelFuture future =
                 mTransport
@@ -78,7 +99,7 @@
         future.addListener(
                 done -> {
                     if (done.isSuccess()) {
-                        future.channel().writeAndFlush(request(address, method, uri, body));
+                        future.channel().writeAndFlush(request(host, method, uri, body));
                     } else {
                         reply.completeExceptionally(done.cause());
                     }
@@ -97,15 +118,12 @@
      * @return the request
      */
     public static FullHttpRequest request(
-            final InetSocketAddress address,
-            final HttpMethod method,
-            final String uri,
-            final String body) {
+            final String host, final HttpMethod method, final String uri, final String body) {
         final byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         final FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(bytes));
-        request.headers().set(HttpHeaderNames.HOST, address.getHostString());
+        request.headers().set(HttpHeaderNames.HOST, host);
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
         return request;
--- a/src/main/java/io/bilberrylane/node/ConfigurationService.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationService.java
@@ -5,35 +5,75 @@
 import io.bilberrylane.base.RankedLock;
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.CatalogueCheck;
-import io.bilberrylane.catalogue.CatalogueReader;
+import io.bilberrylane.catalogue.ConfigurationFormat;
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.peer.PeerLinks;
 import io.bilberrylane.peer.PeerMessage;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 
-/** Holds the configuration in force; takes only newer revisions, from the platform or a peer. */
+/** Holds the configuration in force; takes only newer parts, from the platform or a peer. */
 public final class ConfigurationService {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final long PULL_TIMEOUT_MILLIS = 1_000;
+    private static final long PULL_TIMEOUT_MILLIS = 500;
 
-    private record Held(long revision, String text, Catalogue catalogue) {}
+    private record Held(
+            ConfigurationVersion version,
+            String text,
+            Catalogue named,
+            Set<String> outages,
+            Catalogue inForce) {
+        private static final Held NOTHING =
+                new Held(
+                        ConfigurationVersion.NONE,
+                        "",
+                        Catalogue.empty(),
+                        Set.of(),
+                        Catalogue.empty());
+
+        private Held withCatalogue(final long revision, final String newText, final Catalogue c) {
+            return new Held(
+                    new ConfigurationVersion(revision, version.outages()),
+                    newText,
+                    c,
+                    outages,
+                    c.withDataCentresOut(outages));
+        }
+
+        private Held withOutages(final long revision, final Set<String> newOutages) {
+            return new Held(
+                    new ConfigurationVersion(version.catalogue(), revision),
+                    text,
+                    named,
+                    newOutages,
+                    named.withDataCentresOut(newOutages));
+        }
+    }
 
     private final RankedLock mLock = RankedLock.of(LockRank.CONFIGURATION);
+    private final ConfigurationFormat mFormat;
     private final PeerLinks mLinks;
-    private final LongConsumer mOnRevision;
+    private final Consumer<ConfigurationVersion> mOnVersion;
     private final AtomicBoolean mPulling = new AtomicBoolean();
-    private volatile Held mHeld = new Held(0, "", Catalogue.empty());
+    private volatile Held mHeld = Held.NOTHING;
 
     /**
      * Creates a service without a configuration.
      *
+     * @param format how the configuration is written
      * @param links the way to peers
-     * @param onRevision told each revision that comes into force
+     * @param onVersion told each version that comes into force
      */
-    public ConfigurationService(final PeerLinks links, final LongConsumer onRevision) {
+    public ConfigurationService(
+            final ConfigurationFormat format,
+            final PeerLinks links,
+            final Consumer<ConfigurationVersion> onVersion) {
+        mFormat = format;
         mLinks = links;
-        mOnRevision = onRevision;
+        mOnVersion = onVersion;
     }
 
     // -- queries
@@ -44,55 +84,98 @@
      * @return an empty catalogue before the first configuration
      */
     public Catalogue catalogue() {
-        return mHeld.catalogue();
+        return isComplete() ? mHeld.inForce() : Catalogue.empty();
     }
 
     /**
-     * Returns the revision in force.
+     * Returns the version in force.
      *
-     * @return 0 before the first configuration
+     * @return NONE before the first configuration
      */
-    public long revision() {
-        return mHeld.revision();
+    public ConfigurationVersion version() {
+        return mHeld.version();
+    }
+
+    /**
+     * Returns whether every part of the configuration is known.
+     *
+     * @return true once the node may serve calls
+     */
+    public boolean isComplete() {
+        final ConfigurationVersion version = mHeld.version();
+        return version.catalogue() > 0 && (version.outages() > 0 || mFormat.outageKind().isEmpty());
     }
 
     PeerMessage.ConfigurationReply answer(final PeerMessage.ConfigurationPull pull) {
         final Held held = mHeld;
-        final String text = held.revision() > pull.knownVersion() ? held.text() : "";
-        return new PeerMessage.ConfigurationReply(pull.questionId(), held.revision(), text);
+        final boolean newer = held.version().catalogue() > pull.known().catalogue();
+        return new PeerMessage.ConfigurationReply(
+                pull.questionId(),
+                held.version(),
+                newer ? held.text() : "",
+                java.util.List.copyOf(new TreeSet<>(held.outages())));
     }
 
     // -- changes
 
     /**
-     * Takes a configuration if it is newer than the one in force.
+     * Takes a catalogue if it is newer than the one in force.
      *
      * @param revision its revision
-     * @param text its catalogue
+     * @param text its text
      * @return whether it came into force
      */
     public boolean offer(final long revision, final String text) {
-        if (revision <= mHeld.revision()) {
+        if (revision <= mHeld.version().catalogue()) {
             return false;
         }
-        final CatalogueCheck check = CatalogueReader.read("configuration@" + revision, text);
+        final CatalogueCheck check = mFormat.check("configuration@" + revision, text);
         if (!check.isValid()) {
             LOGGER.atSevere().log(
                     "configuration %d is not valid and is ignored: %s", revision, check.findings());
             return false;
         }
-        final boolean taken =
+        return changed(
+                mLock.get(
+                        () -> {
+                            if (revision <= mHeld.version().catalogue()) {
+                                return false;
+                            }
+                            mHeld = mHeld.withCatalogue(revision, text, check.catalogue());
+                            return true;
+                        }));
+    }
+
+    /**
+     * Takes the data centres that are out, if they are newer news than those known.
+     *
+     * @param revision the revision of the news
+     * @param dataCentres all data centres that are out
+     * @return whether the news was taken
+     */
+    public boolean offerOutages(final long revision, final Set<String> dataCentres) {
+        final Set<String> copy = Set.copyOf(dataCentres);
+        return changed(
                 mLock.get(
                         () -> {
-                            if (revision <= mHeld.revision()) {
+                            final Held held = mHeld;
+                            final boolean same =
+                                    held.version().outages() > 0 && copy.equals(held.outages());
+                            if (revision <= held.version().outages() || same) {
                                 return false;
                             }
-                            mHeld = new Held(revision, text, check.catalogue());
+                            mHeld = held.withOutages(revision, copy);
                             return true;
-                        });
+                        }));
+    }
+
+    private boolean changed(final boolean taken) {
         if (taken) {
-            LOGGER.atInfo().log("configuration %d is in force", revision);
-            mOnRevision.accept(revision);
+            final Held held = mHeld;
+            LOGGER.atInfo().log(
+                    "configuration %s is in force, data centres out: %s",
+                    held.version(), held.inForce().dataCentresOut());
+            mOnVersion.accept(held.version());
         }
         return taken;
     }
@@ -101,23 +184,31 @@
      * Pulls the configuration from a peer that holds a newer one.
      *
      * @param peerAddress the peer
-     * @param revision the revision in force there
+     * @param version the version in force there
      */
-    public void heard(final InetSocketAddress peerAddress, final long revision) {
-        if (revision <= mHeld.revision() || !mPulling.compareAndSet(false, true)) {
+    public void heard(final InetSocketAddress peerAddress, final ConfigurationVersion version) {
+        if (!mHeld.version().isBehind(version) || !mPulling.compareAndSet(false, true)) {
             return;
         }
         mLinks.ask(
                 peerAddress,
-                id -> new PeerMessage.ConfigurationPull(id, mHeld.revision()),
+                id -> new PeerMessage.ConfigurationPull(id, mHeld.version()),
                 PULL_TIMEOUT_MILLIS,
                 reply -> {
                     mPulling.set(false);
                     if (reply.isPresent()
-                            && reply.get() instanceof PeerMessage.ConfigurationReply answer
-                            && !answer.document().isEmpty()) {
-                        offer(answer.version(), answer.document());
+                            && reply.get() instanceof PeerMessage.ConfigurationReply answer) {
+                        take(answer);
                     }
                 });
     }
+
+    private void take(final PeerMessage.ConfigurationReply answer) {
+        if (!answer.document().isEmpty()) {
+            offer(answer.version().catalogue(), answer.document());
+        }
+        if (answer.version().outages() > 0) {
+            offerOutages(answer.version().outages(), Set.copyOf(answer.outages()));
+        }
+    }
 }
--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -3,38 +3,45 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.hash.Hashing;
 import io.bilberrylane.catalogue.ConfigurationDocument;
+import io.bilberrylane.catalogue.ConfigurationFormat;
 import io.bilberrylane.membership.Member;
 import io.bilberrylane.membership.MemberStatus;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.Identity;
+import io.bilberrylane.platform.ObjectEvent;
 import io.bilberrylane.platform.ObjectStore;
 import io.bilberrylane.platform.StoredObject;
-import io.bilberrylane.platform.WatchListener;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Random;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Watches the configuration in the platform while this node is one of the first two of its data
- * centre by rendezvous hash. Every other node learns of changes from peers.
+ * Watches the configuration in the platform while this node is one of a few that do, each in
+ * another data centre while there are enough. Every other node learns of changes from peers.
  */
 final class ConfigurationWatcher {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int WATCHERS_PER_DATA_CENTRE = 2;
-    private static final long CHECK_MILLIS = 1_000;
-    private static final int MAX_BACKOFF_MILLIS = 2_000;
+    private static final int WATCHERS = 3;
+    private static final long CHECK_MILLIS = 500;
+
+    /** Time for peers to tell a started node the configuration, before it asks the platform. */
+    private static final long PEERS_FIRST_MILLIS = 400;
 
     private final Transport mTransport;
     private final Identity mIdentity;
-    private final ObjectStore mStore;
     private final MembershipService mMembership;
     private final ConfigurationService mConfiguration;
-    private final Random mRandom;
-    private AutoCloseable mWatch;
-    private boolean mBusy;
-    private long mGeneration;
+    private final ConfigurationFormat mFormat;
+    private final KindWatch mCatalogueWatch;
+    private final Optional<KindWatch> mOutageWatch;
+    private final Set<String> mOutages = new HashSet<>();
+    private final long mStartNanos = System.nanoTime();
     private volatile boolean mStopped;
 
     ConfigurationWatcher(
@@ -42,139 +49,130 @@
             final Identity identity,
             final ObjectStore store,
             final MembershipService membership,
-            final ConfigurationService configuration) {
+            final ConfigurationService configuration,
+            final ConfigurationFormat format) {
         mTransport = transport;
         mIdentity = identity;
-        mStore = store;
         mMembership = membership;
         mConfiguration = configuration;
-        mRandom = new Random(identity.incarnation() + 1);
+        mFormat = format;
+        mCatalogueWatch = new KindWatch(transport, store, format.kind(), new CatalogueTaker());
+        mOutageWatch =
+                format.outageKind()
+                        .map(kind -> new KindWatch(transport, store, kind, new OutageTaker()));
     }
 
     void start() {
         check();
     }
 
-    synchronized void stop() {
+    void stop() {
         mStopped = true;
-        endWatch();
-    }
-
-    boolean isWatching() {
-        return mWatch != null;
+        mCatalogueWatch.stop();
+        mOutageWatch.ifPresent(KindWatch::stop);
     }
 
     private void check() {
         if (mStopped) {
             return;
         }
-        final boolean shouldWatch = mConfiguration.revision() == 0 || isWatcher();
-        synchronized (this) {
-            if (shouldWatch && !mBusy && mWatch == null) {
-                mBusy = true;
-                list();
-            } else if (!shouldWatch) {
-                endWatch();
-            }
-        }
+        final boolean alone = mMembership.members().size() <= 1;
+        final long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+        final boolean waited = ageMillis >= PEERS_FIRST_MILLIS;
+        final boolean missing = !mConfiguration.isComplete() && waited;
+        final boolean watches = missing || waited && !alone && isWatcher() || alone && waited;
+        mCatalogueWatch.set(watches);
+        mOutageWatch.ifPresent(watch -> watch.set(watches));
         mTransport.group().schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    // -- who watches
+
+    /** Returns whether this node is the first of its data centre, and that one of the first. */
     private boolean isWatcher() {
-        final List<String> first =
-                mMembership.members().stream()
+        return watchers(mMembership.members()).contains(mIdentity.host());
+    }
+
+    static Set<String> watchers(final List<Member> members) {
+        final List<Member> ranked =
+                members.stream()
                         .filter(member -> member.status() == MemberStatus.ALIVE)
-                        .filter(member -> member.dataCentre().equals(mIdentity.dataCentre()))
-                        .map(Member::host)
-                        .sorted(Comparator.comparingLong(ConfigurationWatcher::weight))
-                        .limit(WATCHERS_PER_DATA_CENTRE)
+                        .sorted(Comparator.comparingLong(member -> weight(member.host())))
                         .toList();
-        return first.contains(mIdentity.host());
+        final Map<String, String> firstOfDataCentre = new LinkedHashMap<>();
+        ranked.forEach(member -> firstOfDataCentre.putIfAbsent(member.dataCentre(), member.host()));
+        final Set<String> chosen = new HashSet<>();
+        firstOfDataCentre.values().stream().limit(WATCHERS).forEach(chosen::add);
+        ranked.stream()
+                .map(Member::host)
+                .filter(host -> !chosen.contains(host))
+                .limit(Math.max(0, WATCHERS - chosen.size()))
+                .toList()
+                .forEach(chosen::add);
+        return chosen;
     }
 
     private static long weight(final String host) {
         return Hashing.murmur3_128().hashString(host, StandardCharsets.UTF_8).asLong();
     }
 
-    // -- list and watch
-
-    private void list() {
-        mStore.list(ConfigurationDocument.KIND)
-                .whenComplete(
-                        (list, failure) -> {
-                            if (failure != null) {
-                                LOGGER.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
-                                        "configuration not read: %s", failure.getMessage());
-                                retryLater();
-                                return;
-                            }
-                            list.items().forEach(this::take);
-                            watch(list.version());
-                        });
-    }
+    // -- what is watched
 
-    private synchronized void watch(final long version) {
-        mBusy = false;
-        if (mStopped) {
-            return;
+    private final class CatalogueTaker implements KindWatch.Taker {
+        @Override
+        public void onList(final long version, final List<StoredObject> objects) {
+            objects.forEach(this::take);
         }
-        final long generation = ++mGeneration;
-        mWatch =
-                mStore.watch(
-                        ConfigurationDocument.KIND,
-                        version,
-                        new WatchListener() {
-                            @Override
-                            public void onChanged(final StoredObject object) {
-                                take(object);
-                            }
-
-                            @Override
-                            public void onDeleted(final StoredObject object) {
-                                LOGGER.atSevere().log(
-                                        "configuration object deleted; the last one stays");
-                            }
-
-                            @Override
-                            public void onEnded(final RuntimeException cause) {
-                                watchEnded(generation);
-                            }
-                        });
-    }
 
-    private synchronized void watchEnded(final long generation) {
-        if (generation == mGeneration && mWatch != null) {
-            mWatch = null;
-            mBusy = true;
-            retryLater();
+        @Override
+        public void onEvents(final long version, final List<ObjectEvent> events) {
+            for (final ObjectEvent event : events) {
+                if (event.deleted()) {
+                    LOGGER.atSevere().log("configuration object deleted; the last one stays");
+                } else {
+                    take(event.object());
+                }
+            }
         }
-    }
 
-    private void retryLater() {
-        final long delay = MAX_BACKOFF_MILLIS / 4 + mRandom.nextInt(MAX_BACKOFF_MILLIS);
-        mTransport.group().schedule(this::release, delay, TimeUnit.MILLISECONDS);
+        private void take(final StoredObject object) {
+            if (!object.name().equals(mFormat.name())) {
+                return;
+            }
+            final ConfigurationDocument document =
+                    mFormat.document(object.version(), object.spec());
+            if (mConfiguration.offer(document.revision(), document.text())) {
+                mMembership.announceConfiguration();
+            }
+        }
     }
 
-    private synchronized void release() {
-        mBusy = false;
-    }
+    private final class OutageTaker implements KindWatch.Taker {
+        @Override
+        public void onList(final long version, final List<StoredObject> objects) {
+            mOutages.clear();
+            objects.forEach(object -> mOutages.add(object.name()));
+            tell(version);
+        }
 
-    private void endWatch() {
-        mGeneration++;
-        if (mWatch != null) {
-            try {
-                mWatch.close();
-            } catch (Exception e) {
-                LOGGER.atWarning().withCause(e).log("watch failed to close");
+        @Override
+        public void onEvents(final long version, final List<ObjectEvent> events) {
+            for (final ObjectEvent event : events) {
+                if (event.deleted()) {
+                    mOutages.remove(event.object().name());
+                } else {
+                    mOutages.add(event.object().name());
+                }
+            }
+            if (!events.isEmpty()) {
+                tell(version);
             }
-            mWatch = null;
         }
-    }
 
-    private void take(final StoredObject object) {
-        if (object.name().equals(ConfigurationDocument.NAME)) {
-            final ConfigurationDocument document = ConfigurationDocument.read(object.spec());
-            mConfiguration.offer(document.revision(), document.text());
+        private void tell(final long version) {
+            if (mConfiguration.offerOutages(version, mOutages)) {
+                mMembership.announceConfiguration();
+            }
         }
     }
 }
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -6,10 +6,12 @@
 import io.bilberrylane.base.RankedLock;
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.Limits;
-import io.bilberrylane.catalogue.ServiceClass;
 import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.catalogue.TargetFacts;
+import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.TargetAddress;
 import io.bilberrylane.http.TargetPool;
+import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetRecord;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.outcome.CallPhase;
@@ -26,10 +28,13 @@
 import io.bilberrylane.policy.TargetLoad;
 import io.bilberrylane.policy.Ticket;
 import java.net.InetSocketAddress;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -38,9 +43,11 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long OUTCOME_RETENTION_SECONDS = 60;
     private static final int SPARE_CONNECTIONS = 2;
+    private static final int WARM_CONNECTIONS = 1;
+    private static final int REMEMBERED_DEPARTURES = 64;
 
     private final Transport mTransport;
-    private final NodeSettings mSettings;
+    private volatile NodeSettings mSettings;
     private final Supplier<Catalogue> mCatalogue;
     private final RankedLock mAdmissionLock = RankedLock.of(LockRank.ADMISSION);
     private final RankedLock mOutcomeLock = RankedLock.of(LockRank.OUTCOME);
@@ -51,6 +58,14 @@
     private volatile GateTarget mTarget;
     private volatile boolean mLeaving;
     private volatile long mLeaseEndNanos;
+    private final Set<String> mDeparted =
+            Collections.newSetFromMap(
+                    new LinkedHashMap<>() {
+                        @Override
+                        protected boolean removeEldestEntry(final Map.Entry<String, Boolean> e) {
+                            return size() > REMEMBERED_DEPARTURES;
+                        }
+                    });
 
     private Gate(
             final Transport transport,
@@ -92,11 +107,18 @@
      * @param address the target's address
      * @return whether other nodes must learn of it
      */
-    public boolean announce(
+    public synchronized boolean announce(
             final TargetAnnouncement announcement, final InetSocketAddress address) {
+        final GateTarget known = mTarget;
+        if (known != null && announcement.isOlderThan(known.announcement())) {
+            LOGGER.atInfo().log("older announcement of target %s ignored", announcement.id());
+            return false;
+        }
+        if (mDeparted.contains(processOf(announcement))) {
+            return false;
+        }
         mLeaseEndNanos =
                 System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(announcement.leaseMillis());
-        final GateTarget known = mTarget;
         if (known != null && announcement.isRenewalOf(known.announcement())) {
             return renew(known, announcement);
         }
@@ -105,14 +127,15 @@
                         announcement.slots(),
                         announcement.coldSlots(),
                         announcement.warmUpRequests());
-        final int warm = Math.min(announcement.slots() + SPARE_CONNECTIONS, 1 + SPARE_CONNECTIONS);
+        admission.coldFor(announcement.coldMillis(), System.nanoTime());
         final TargetPool pool =
                 TargetPool.of(
-                        mTransport, new TargetAddress(address, announcement.connections(), warm));
+                        mTransport,
+                        new TargetAddress(address, connections(announcement), WARM_CONNECTIONS));
         if (announcement.draining() || mLeaving) {
             admission.stop();
         }
-        mTarget = new GateTarget(announcement, admission, pool);
+        mTarget = new GateTarget(announcement, admission, pool, false);
         LOGGER.atInfo().log(
                 "target announced: service %s at %s with %d slots",
                 announcement.service(), address, announcement.slots());
@@ -122,15 +145,39 @@
         return true;
     }
 
+    private static String processOf(final TargetAnnouncement announcement) {
+        return announcement.id() + "@" + announcement.incarnation();
+    }
+
+    private int connections(final TargetAnnouncement announcement) {
+        final int most = announcement.slots() + SPARE_CONNECTIONS;
+        final int announced =
+                announcement.connections() > 0
+                        ? announcement.connections()
+                        : facts(announcement.service()).connections();
+        return announced > 0 ? Math.min(announced, most) : most;
+    }
+
+    private TargetFacts facts(final String service) {
+        return mCatalogue
+                .get()
+                .service(service)
+                .map(ServiceEntry::targets)
+                .orElse(TargetFacts.NONE);
+    }
+
     private boolean renew(final GateTarget known, final TargetAnnouncement announcement) {
         final boolean changed = announcement.draining() != known.announcement().draining();
+        mAdmissionLock.run(
+                () -> known.admission().coldFor(announcement.coldMillis(), System.nanoTime()));
         if (announcement.cold() && !known.announcement().cold()) {
             mAdmissionLock.run(known.admission()::turnCold);
         }
-        mTarget = new GateTarget(announcement, known.admission(), known.pool());
+        mTarget =
+                new GateTarget(announcement, known.admission(), known.pool(), known.hasDeparted());
         if (changed && announcement.draining()) {
             stopAdmission(known);
-        } else if (changed && !mLeaving) {
+        } else if (changed && !mLeaving && !known.hasDeparted()) {
             mAdmissionLock.run(known.admission()::resume);
         }
         return changed;
@@ -142,7 +189,7 @@
      * @param nowNanos the monotonic clock
      * @return whether it was removed
      */
-    public boolean expireTarget(final long nowNanos) {
+    public synchronized boolean expireTarget(final long nowNanos) {
         final GateTarget target = mTarget;
         if (target == null || nowNanos - mLeaseEndNanos < 0) {
             return false;
@@ -150,12 +197,30 @@
         return withdrawTarget();
     }
 
+    /**
+     * Takes note that the target leaves; it is never taken back.
+     *
+     * @param id the target's identity
+     * @return whether other nodes must learn of it
+     */
+    public synchronized boolean departTarget(final String id) {
+        final GateTarget target = mTarget;
+        if (target == null || !target.announcement().id().equals(id)) {
+            return false;
+        }
+        mDeparted.add(processOf(target.announcement()));
+        LOGGER.atInfo().log("target %s leaves", id);
+        mTarget = target.departed();
+        stopAdmission(target);
+        return true;
+    }
+
     /**
      * Removes the target at once.
      *
      * @return whether there was one
      */
-    public boolean withdrawTarget() {
+    public synchronized boolean withdrawTarget() {
         final GateTarget target = mTarget;
         if (target == null) {
             return false;
@@ -194,7 +259,7 @@
                         announcement.service(),
                         announcement.incarnation(),
                         announcement.slots(),
-                        !announcement.draining() && !mLeaving));
+                        !announcement.draining() && !target.hasDeparted() && !mLeaving));
     }
 
     /**
@@ -226,6 +291,10 @@
         return mOutcomeLock.get(() -> mCalls.settle(callId, System.nanoTime()));
     }
 
+    HeaderNames names() {
+        return mSettings.profile().names();
+    }
+
     KeyDesk keys() {
         return mKeys;
     }
@@ -288,17 +357,17 @@
         }
         final Optional<ServiceEntry> entry = mCatalogue.get().service(call.head().service());
         final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
-        final ServiceClass rank =
-                entry.map(ServiceEntry::serviceClass).orElse(ServiceClass.STANDARD);
+        final TargetFacts facts = entry.map(ServiceEntry::targets).orElse(TargetFacts.NONE);
         final long now = System.nanoTime();
         final long waitMillis = Math.min(limits.queueMillis(), call.head().timeoutMillis());
         final Ticket ticket =
                 new Ticket(
                         call.head().callId(),
-                        rank.ordinal(),
+                        call.head().priority(),
                         now + TimeUnit.MILLISECONDS.toNanos(waitMillis));
         return mAdmissionLock.get(
                 () -> {
+                    target.admission().boundRates(mSettings.bounds(), facts.coldPerSecond());
                     final AdmissionDecision decision = target.admission().offer(ticket, now);
                     if (decision instanceof AdmissionDecision.Queued) {
                         mWaiting.put(ticket.callId(), call);
@@ -357,6 +426,15 @@
         return mWaiting.remove(ticket.callId());
     }
 
+    /**
+     * Takes changed settings.
+     *
+     * @param settings the new settings
+     */
+    public void reload(final NodeSettings settings) {
+        mSettings = settings;
+    }
+
     // -- leaving
 
     /** Admits no new call from now on; calls in service go on. */
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.Headers;
 import io.bilberrylane.http.TargetConnection;
 import io.bilberrylane.http.TargetListener;
@@ -212,7 +213,7 @@
         }
         final List<HeaderField> headers = new ArrayList<>(mReplay.head().headers());
         headers.add(new HeaderField(Headers.REPLAYED, "true"));
-        mSink.onHead(new AnswerHead(mReplay.head().status(), headers));
+        mSink.onHead(AnswerHead.of(mReplay.head().status(), headers));
         mSink.onData(Unpooled.wrappedBuffer(mReplay.bodyBytes()));
         mSink.onEnd(mGate.load());
     }
@@ -293,9 +294,14 @@
             HttpUtil.setTransferEncodingChunked(request, true);
         }
         final long remainingNanos = Math.max(0, mDeadlineNanos - System.nanoTime());
-        request.headers()
-                .set(Headers.TIMEOUT_MILLIS, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
-        request.headers().set(Headers.CALL_ID, mHead.callId());
+        final HeaderNames names = mGate.names();
+        request.headers().set(names.timeoutMillis(), TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+        if (!names.callersNameRequests()) {
+            request.headers().set(names.requestId(), mHead.callId());
+        }
+        if (!mTarget.announcement().id().isEmpty()) {
+            request.headers().set(names.targetId(), mTarget.announcement().id());
+        }
         return request;
     }
 
@@ -375,22 +381,40 @@
     }
 
     private void onAnswerHead(final HttpResponse response) {
-        final String echoed = response.headers().get(Headers.CALL_ID);
-        if (echoed != null && !echoed.equals(mHead.callId())) {
-            LOGGER.atWarning().log(
-                    "target answered call %s on the connection of call %s", echoed, mHead.callId());
+        final HeaderNames names = mGate.names();
+        mStatus = response.status().code();
+        final Optional<String> defect = defect(names, response);
+        if (defect.isPresent()) {
+            LOGGER.atWarning().log("answer to call %s refused: %s", requestId(), defect.get());
             stop(false);
-            mSink.onFailed(ErrorCode.TARGET_FAILED, CallPhase.STARTED);
+            mSink.onFailed(ErrorCode.ANSWER_SPOILED, CallPhase.STARTED);
             return;
         }
-        mStatus = response.status().code();
-        final AnswerHead head = new AnswerHead(mStatus, Headers.endToEnd(response.headers()));
+        final AnswerHead head =
+                new AnswerHead(
+                        mStatus,
+                        Headers.endToEnd(response.headers(), names.hiddenFromCallers()),
+                        names.saysNotRun(mStatus, response.headers()));
         mKey.ifPresent(key -> key.onAnswerHead(head));
         if (!mCallerGone) {
             mSink.onHead(head);
         }
     }
 
+    private String requestId() {
+        return mHead.requestId().isEmpty() ? mHead.callId() : mHead.requestId();
+    }
+
+    private Optional<String> defect(final HeaderNames names, final HttpResponse response) {
+        final String echoed = response.headers().get(names.requestId());
+        if (echoed != null && !echoed.equals(requestId())) {
+            return Optional.of("it belongs to call " + echoed);
+        }
+        return names.isSound(mStatus, response.headers())
+                ? Optional.empty()
+                : Optional.of("a success without a signature");
+    }
+
     @Override
     public void onContent(final ByteBuf bytes) {
         onLoop(
--- a/src/main/java/io/bilberrylane/node/GateTarget.java
+++ b/src/main/java/io/bilberrylane/node/GateTarget.java
@@ -1,20 +1,30 @@
 package io.bilberrylane.node;
 
 import io.bilberrylane.http.TargetPool;
+import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.policy.GateAdmission;
 import java.util.Objects;
 
 /**
  * The target beside a node while its announcement holds.
  *
- * @param announcement what it said of itself
- * @param admission which calls are in service; guarded by the gate's lock
- * @param pool connections to it
+ * @param announcement the newest announcement
+ * @param admission which calls are in service
+ * @param pool its connections
+ * @param hasDeparted whether it has said that it leaves for good
  */
-record GateTarget(TargetAnnouncement announcement, GateAdmission admission, TargetPool pool) {
+record GateTarget(
+        TargetAnnouncement announcement,
+        GateAdmission admission,
+        TargetPool pool,
+        boolean hasDeparted) {
     GateTarget {
         Objects.requireNonNull(announcement, "announcement is null");
         Objects.requireNonNull(admission, "admission is null");
         Objects.requireNonNull(pool, "pool is null");
     }
+
+    GateTarget departed() {
+        return new GateTarget(announcement, admission, pool, true);
+    }
 }
--- a/src/main/java/io/bilberrylane/node/KeptAnswer.java
+++ b/src/main/java/io/bilberrylane/node/KeptAnswer.java
@@ -58,7 +58,7 @@
             headers.add(new HeaderField(field.path("name").asText(), field.path("value").asText()));
         }
         return new KeptAnswer(
-                new AnswerHead(root.path("status").asInt(), headers),
+                AnswerHead.of(root.path("status").asInt(), headers),
                 root.path("body").asText(),
                 root.path("requestDigest").asText());
     }
--- a/src/main/java/io/bilberrylane/node/KeyedRun.java
+++ b/src/main/java/io/bilberrylane/node/KeyedRun.java
@@ -51,7 +51,7 @@
     }
 
     void finish() {
-        if (mAnswerHead.saysNotRun()) {
+        if (mAnswerHead.notRun()) {
             mDesk.disown(mKey);
             return;
         }
--- a/src/main/java/io/bilberrylane/node/MembershipService.java
+++ b/src/main/java/io/bilberrylane/node/MembershipService.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.LockRank;
 import io.bilberrylane.base.RankedLock;
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.membership.Member;
 import io.bilberrylane.membership.MemberStatus;
 import io.bilberrylane.membership.MemberTable;
@@ -30,7 +31,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.function.ObjLongConsumer;
+import java.util.function.BiConsumer;
 
 /** Runs the membership protocol over UDP and keeps an index of targets by service. */
 public final class MembershipService implements AutoCloseable {
@@ -44,7 +45,8 @@
     private final LongAdder mSentBytes = new LongAdder();
     private final LongAdder mReceivedBytes = new LongAdder();
     private volatile Map<String, List<TargetRef>> mTargets;
-    private volatile ObjLongConsumer<InetSocketAddress> mOnVersion = (address, version) -> {};
+    private volatile BiConsumer<InetSocketAddress, ConfigurationVersion> mOnVersion =
+            (address, version) -> {};
     private Channel mChannel;
     private ScheduledFuture<?> mTicker;
 
@@ -150,7 +152,7 @@
      *
      * @param listener takes the peer address and the version in force there
      */
-    public void onVersion(final ObjLongConsumer<InetSocketAddress> listener) {
+    public void onVersion(final BiConsumer<InetSocketAddress, ConfigurationVersion> listener) {
         mOnVersion = listener;
     }
 
@@ -159,10 +161,16 @@
      *
      * @param version the version in force here
      */
-    public void tellVersion(final long version) {
+    public void tellVersion(final ConfigurationVersion version) {
         mLock.run(() -> mSwim.tellConfigurationVersion(version));
     }
 
+    /** Tells the other nodes at once that there is a newer configuration here. */
+    public void announceConfiguration() {
+        mLock.run(mSwim::announceConfiguration);
+        mChannel.eventLoop().execute(this::tick);
+    }
+
     // -- members
 
     /**
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -3,6 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ResourceCloser;
 import io.bilberrylane.http.HttpServer;
+import io.bilberrylane.http.InterfaceProfile;
+import io.bilberrylane.http.LocalEndpoint;
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.Identity;
 import io.bilberrylane.peer.PeerLinks;
@@ -22,7 +25,7 @@
     private static final long DRAIN_POLL_MILLIS = 20;
 
     private final ResourceCloser mCloser = ResourceCloser.empty();
-    private final NodeSettings mSettings;
+    private volatile NodeSettings mSettings;
     private final Identity mIdentity;
     private final Transport mTransport;
     private final PlatformClient mPlatform;
@@ -66,7 +69,8 @@
 
     private void open() {
         mLinks = mCloser.add(PeerLinks.of(mTransport, mIdentity));
-        mConfiguration = new ConfigurationService(mLinks, this::onRevision);
+        mConfiguration =
+                new ConfigurationService(mSettings.profile().format(), mLinks, this::onVersion);
         mGate =
                 mCloser.add(
                         Gate.of(
@@ -79,14 +83,16 @@
                 mCloser.add(
                         PeerServer.bind(
                                 mTransport,
-                                mSettings.peerAddress(),
+                                mSettings.addresses().peer(),
                                 mIdentity,
                                 mGate,
                                 this::answerPeer));
         mMembership =
                 mCloser.add(MembershipService.start(mTransport, mIdentity, mPeerServer.address()));
         mMembership.onVersion(mConfiguration::heard);
-        mRouter = new Router(mIdentity, mConfiguration, mMembership, mLinks, mGate);
+        mRouter =
+                new Router(
+                        mIdentity, mConfiguration, mMembership, mLinks, mGate, mSettings.regions());
         openHttp();
         mSeeds =
                 new SeedService(
@@ -99,7 +105,12 @@
         mSeeds.start();
         mWatcher =
                 new ConfigurationWatcher(
-                        mTransport, mIdentity, mPlatform, mMembership, mConfiguration);
+                        mTransport,
+                        mIdentity,
+                        mPlatform,
+                        mMembership,
+                        mConfiguration,
+                        mSettings.profile().format());
         mWatcher.start();
         mTransport
                 .group()
@@ -113,45 +124,49 @@
     }
 
     private void openHttp() {
-        mCallerServer =
-                mCloser.add(
-                        HttpServer.bind(
-                                mTransport,
-                                mSettings.callerAddress(),
-                                mConfiguration::catalogue,
-                                mRouter,
-                                Optional.empty(),
-                                "",
-                                mMetrics));
+        final InterfaceProfile profile = mSettings.profile();
+        final NodeAddresses addresses = mSettings.addresses();
+        mCallerServer = server(addresses.caller(), Optional.empty(), "");
         mTargetServer =
-                mCloser.add(
-                        HttpServer.bind(
-                                mTransport,
-                                mSettings.targetAddress(),
-                                mConfiguration::catalogue,
-                                mRouter,
-                                Optional.of(new TargetEndpoint(mGate, mMembership)),
-                                TargetEndpoint.PREFIX,
-                                mMetrics));
+                server(
+                        addresses.target(),
+                        Optional.of(
+                                profile.targetEndpoint().apply(new TargetDesk(mGate, mMembership))),
+                        profile.targetPrefix());
+        final OperatorEndpoint operators =
+                new OperatorEndpoint(
+                        mIdentity, mConfiguration, mMembership, mGate, mMetrics, this::isReady);
         mOperatorServer =
-                mCloser.add(
-                        HttpServer.bindLocal(
-                                mTransport,
-                                mSettings.operatorAddress(),
-                                new OperatorEndpoint(
-                                        mIdentity,
-                                        mConfiguration,
-                                        mMembership,
-                                        mGate,
-                                        mMetrics,
-                                        this::isReady)));
+                mCloser.add(HttpServer.bindLocal(mTransport, addresses.operator(), operators));
+        addresses
+                .readiness()
+                .ifPresent(
+                        address ->
+                                mCloser.add(HttpServer.bindLocal(mTransport, address, operators)));
+    }
+
+    private HttpServer server(
+            final InetSocketAddress address,
+            final Optional<LocalEndpoint> local,
+            final String localPrefix) {
+        return mCloser.add(
+                HttpServer.bind(
+                        mTransport,
+                        address,
+                        mConfiguration::catalogue,
+                        mRouter,
+                        local,
+                        localPrefix,
+                        mSettings.profile().names(),
+                        mSettings.service(),
+                        mMetrics));
     }
 
     private void registerGauges() {
         mMetrics.gauge(
                 "bilberrylane.configuration.revision",
                 "Revision of the configuration in force",
-                mConfiguration::revision);
+                () -> mConfiguration.version().catalogue());
         mMetrics.gauge(
                 "bilberrylane.gate.in.flight",
                 "Requests in service at the target",
@@ -190,8 +205,8 @@
 
     // -- events
 
-    private void onRevision(final long revision) {
-        mMembership.tellVersion(revision);
+    private void onVersion(final ConfigurationVersion version) {
+        mMembership.tellVersion(version);
     }
 
     private void checkLease() {
@@ -215,7 +230,7 @@
     }
 
     private boolean isReady() {
-        return mConfiguration.revision() > 0 && !mGate.isLeaving();
+        return mConfiguration.isComplete() && !mGate.isLeaving();
     }
 
     /**
@@ -224,7 +239,7 @@
      * @return its revision; 0 before the first
      */
     public long revision() {
-        return mConfiguration.revision();
+        return mConfiguration.version().catalogue();
     }
 
     /**
@@ -266,6 +281,17 @@
         return mTargetServer.address();
     }
 
+    /**
+     * Takes changed settings; what is bound to a start, such as addresses, stays.
+     *
+     * @param settings the new settings
+     */
+    public void reload(final NodeSettings settings) {
+        mSettings = settings;
+        mGate.reload(settings);
+        LOGGER.atInfo().log("settings in force: %s", settings.bounds());
+    }
+
     // -- leaving
 
     /** Leaves the fleet without cutting a request, then closes. Blocks. */
--- a/src/main/java/io/bilberrylane/node/NodeSettings.java
+++ b/src/main/java/io/bilberrylane/node/NodeSettings.java
@@ -1,7 +1,9 @@
 package io.bilberrylane.node;
 
-import java.net.InetSocketAddress;
+import io.bilberrylane.http.InterfaceProfile;
+import io.bilberrylane.policy.FleetBounds;
 import java.net.URI;
+import java.util.Map;
 import java.util.Objects;
 
 /**
@@ -9,32 +11,35 @@
  *
  * @param host the host name, unique in the fleet
  * @param dataCentre the data centre
- * @param callerAddress where callers connect
- * @param peerAddress where other nodes connect, by TCP and UDP
- * @param targetAddress where the target announces itself and sends its own calls
- * @param operatorAddress where operators read health, metrics and status
+ * @param regions the region of each data centre; empty when there is one region
+ * @param service the service beside the node, which its callers are told to be; may be empty
+ * @param addresses where it listens
  * @param platform the platform's address
- * @param workers the number of worker threads
- * @param drainMillis the longest time for calls in progress when the node leaves, in milliseconds
+ * @param workers worker threads
+ * @param drainMillis the longest time for calls in progress when leaving, in milliseconds
+ * @param bounds what the whole fleet keeps within
+ * @param profile how callers, targets and operators speak to the node
  */
 public record NodeSettings(
         String host,
         String dataCentre,
-        InetSocketAddress callerAddress,
-        InetSocketAddress peerAddress,
-        InetSocketAddress targetAddress,
-        InetSocketAddress operatorAddress,
+        Map<String, String> regions,
+        String service,
+        NodeAddresses addresses,
         URI platform,
         int workers,
-        long drainMillis) {
+        long drainMillis,
+        FleetBounds bounds,
+        InterfaceProfile profile) {
     /** Checks that every part is present. */
     public NodeSettings {
         Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
-        Objects.requireNonNull(callerAddress, "callerAddress is null");
-        Objects.requireNonNull(peerAddress, "peerAddress is null");
-        Objects.requireNonNull(targetAddress, "targetAddress is null");
-        Objects.requireNonNull(operatorAddress, "operatorAddress is null");
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(addresses, "addresses is null");
         Objects.requireNonNull(platform, "platform is null");
+        Objects.requireNonNull(bounds, "bounds is null");
+        Objects.requireNonNull(profile, "profile is null");
+        regions = Map.copyOf(regions);
     }
 }
--- a/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
+++ b/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
@@ -62,7 +62,7 @@
         root.put("incarnation", mIdentity.incarnation());
         root.put("ready", mReady.getAsBoolean());
         root.put("leaving", mGate.isLeaving());
-        root.put("configurationRevision", mConfiguration.revision());
+        root.put("configurationRevision", mConfiguration.version().catalogue());
         root.put("selfDoubt", mMembership.selfDoubt());
         writeLoad(root.putObject("load"), mGate.load());
         final ArrayNode members = root.putArray("members");
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.catalogue.Route;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.AnswerHead;
 import io.bilberrylane.peer.AnswerSink;
@@ -23,12 +24,12 @@
  */
 final class RoutedCall implements BodySink {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int MAX_ATTEMPTS = 3;
     private static final int MAX_OVERLOAD_ATTEMPTS = 2;
     private static final long DEADLINE_GRACE_MILLIS = 250;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final Router mRouter;
+    private final Route mRoute;
     private final CallHead mHead;
     private final EventExecutor mExecutor;
     private final AnswerSink mSink;
@@ -46,10 +47,12 @@
 
     RoutedCall(
             final Router router,
+            final Route route,
             final CallHead head,
             final EventExecutor executor,
             final AnswerSink sink) {
         mRouter = router;
+        mRoute = route;
         mHead = head;
         mExecutor = executor;
         mSink = sink;
@@ -77,7 +80,7 @@
         }
         final Optional<TargetRef> target =
                 otherwise.holder().isEmpty()
-                        ? mRouter.choose(mHead.service(), mTried)
+                        ? mRouter.choose(mRoute, mHead.service(), mTried)
                         : mRouter.holder(otherwise.holder());
         if (target.isEmpty()) {
             refuse(otherwise);
@@ -90,7 +93,13 @@
         mAttempt = next;
         next.mBody =
                 mRouter.opener(target.get())
-                        .open(mHead.forAttempt(callId, remainingMillis, mAttempts), next);
+                        .open(
+                                mHead.forAttempt(
+                                        callId,
+                                        remainingMillis,
+                                        mAttempts,
+                                        mHead.timeoutMillis() - remainingMillis),
+                                next);
     }
 
     /** Ends the call without a run; an earlier attempt that may have run makes that untrue. */
@@ -302,11 +311,11 @@
 
     /** Returns whether an answer says that its target did not run the call, and another may. */
     private boolean isRetryable(final AnswerHead head) {
-        return head.saysNotRun()
+        return head.notRun()
                 && !mOver
                 && !mBodySent
                 && !mHead.isKeyed()
-                && mAttempts < MAX_ATTEMPTS;
+                && mAttempts < mRoute.attempts();
     }
 
     private void afterRefusal(final Refusal refusal) {
@@ -328,7 +337,7 @@
                     case OVERLOADED, QUEUE_TIMEOUT -> mOverloads < MAX_OVERLOAD_ATTEMPTS;
                     default -> false;
                 };
-        if (mayHelp && mAttempts < MAX_ATTEMPTS && !mBodySent) {
+        if (mayHelp && mAttempts < mRoute.attempts() && !mBodySent) {
             attempt(refusal);
         } else {
             refuse(refusal);
@@ -344,7 +353,7 @@
         }
         final boolean isResolvable = code == ErrorCode.LINK_LOST && !mHead.idempotent();
         mMayHaveRun |= !phase.isNotRun() && !isResolvable;
-        final boolean unheard = !mBodySent && !mHeadSeen && mAttempts < MAX_ATTEMPTS;
+        final boolean unheard = !mBodySent && !mHeadSeen && mAttempts < mRoute.attempts();
         if (unheard && (mHead.idempotent() || phase.isNotRun())) {
             attempt(Refusal.of(code));
         } else if (isResolvable && !phase.isNotRun() && !mHeadSeen) {
@@ -368,7 +377,7 @@
             return;
         }
         mMayHaveRun |= !phase.isNotRun();
-        if (phase.isNotRun() && !mBodySent && mAttempts < MAX_ATTEMPTS) {
+        if (phase.isNotRun() && !mBodySent && mAttempts < mRoute.attempts()) {
             attempt(Refusal.of(ErrorCode.LINK_LOST));
         } else {
             fail(ErrorCode.LINK_LOST, phase);
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -3,7 +3,7 @@
 import io.bilberrylane.base.LockRank;
 import io.bilberrylane.base.RankedLock;
 import io.bilberrylane.catalogue.Catalogue;
-import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.catalogue.Route;
 import io.bilberrylane.http.CallRouter;
 import io.bilberrylane.membership.MemberStatus;
 import io.bilberrylane.outcome.CallPhase;
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -42,6 +43,7 @@
     private final TargetSelector mSelector;
     private final AtomicLong mNextCall = new AtomicLong();
     private final AtomicInteger mCallsInProgress = new AtomicInteger();
+    private final Map<String, String> mRegions;
     private final String mCallPrefix;
 
     /**
@@ -52,13 +54,16 @@
      * @param membership which targets there are
      * @param links the way to other gates
      * @param gate the gate of this node
+     * @param regions the region of each data centre
      */
     public Router(
             final Identity identity,
             final ConfigurationService configuration,
             final MembershipService membership,
             final PeerLinks links,
-            final Gate gate) {
+            final Gate gate,
+            final Map<String, String> regions) {
+        mRegions = Map.copyOf(regions);
         mIdentity = identity;
         mConfiguration = configuration;
         mMembership = membership;
@@ -72,24 +77,26 @@
 
     @Override
     public BodySink route(
-            final ServiceEntry entry,
+            final Route route,
             final CallHead head,
             final EventExecutor executor,
             final AnswerSink sink) {
-        final RoutedCall call = new RoutedCall(this, head, executor, sink);
+        final RoutedCall call = new RoutedCall(this, route, head, executor, sink);
         call.start();
         return call;
     }
 
     // -- choice
 
-    Optional<TargetRef> choose(final String service, final Collection<String> excluded) {
+    Optional<TargetRef> choose(
+            final Route route, final String service, final Collection<String> excluded) {
         final Catalogue catalogue = mConfiguration.catalogue();
         final List<TargetRef> targets = mMembership.targets(service);
         final List<Candidate> candidates = new ArrayList<>(targets.size());
         for (final TargetRef target : targets) {
             final Candidate candidate = target.candidate();
-            if (catalogue.isInService(candidate.host(), candidate.dataCentre())) {
+            if (catalogue.isInService(candidate.host(), candidate.dataCentre())
+                    && mayRunIn(route, candidate.dataCentre())) {
                 candidates.add(candidate);
             }
         }
@@ -108,6 +115,11 @@
                                 .findFirst());
     }
 
+    private boolean mayRunIn(final Route route, final String dataCentre) {
+        return route.regions().isEmpty()
+                || route.regions().contains(mRegions.getOrDefault(dataCentre, ""));
+    }
+
     /** Returns the gate of a host that holds an idempotency key, whether or not it admits work. */
     Optional<TargetRef> holder(final String host) {
         final Optional<TargetRef> found =
--- a/src/main/java/io/bilberrylane/node/SeedService.java
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -82,7 +82,7 @@
         }
         final boolean alone = isAlone();
         if (alone || mRound++ % LISTS_PER_SYNC == 0) {
-            mStore.list(KIND)
+            mStore.listStale(KIND)
                     .whenComplete(
                             (list, failure) -> {
                                 if (failure == null) {
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/TargetDesk.java
@@ -0,0 +1,37 @@
+package io.bilberrylane.node;
+
+import io.bilberrylane.membership.TargetAnnouncement;
+import io.bilberrylane.membership.TargetRegistry;
+import java.util.Optional;
+
+/** Hands what the target says of itself to the gate, and to the other nodes when it changes. */
+final class TargetDesk implements TargetRegistry {
+    private final Gate mGate;
+    private final MembershipService mMembership;
+
+    TargetDesk(final Gate gate, final MembershipService membership) {
+        mGate = gate;
+        mMembership = membership;
+    }
+
+    @Override
+    public void announce(final TargetAnnouncement announcement) {
+        if (mGate.announce(announcement, Addresses.parse(announcement.address()))) {
+            mMembership.tellTarget(mGate.record());
+        }
+    }
+
+    @Override
+    public void depart(final String id) {
+        if (mGate.departTarget(id)) {
+            mMembership.tellTarget(mGate.record());
+        }
+    }
+
+    @Override
+    public void withdraw() {
+        if (mGate.withdrawTarget()) {
+            mMembership.tellTarget(Optional.empty());
+        }
+    }
+}
--- a/src/main/java/io/bilberrylane/node/TargetEndpoint.java
+++ b/src/main/java/io/bilberrylane/node/TargetEndpoint.java
@@ -5,7 +5,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.bilberrylane.http.LocalAnswer;
 import io.bilberrylane.http.LocalEndpoint;
-import java.util.Optional;
+import io.bilberrylane.membership.TargetAnnouncement;
+import io.bilberrylane.membership.TargetRegistry;
 
 /** Takes the announcements of the target beside a node. */
 final class TargetEndpoint implements LocalEndpoint {
@@ -16,12 +17,10 @@
     private static final ObjectMapper MAPPER =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
-    private final Gate mGate;
-    private final MembershipService mMembership;
+    private final TargetRegistry mRegistry;
 
-    TargetEndpoint(final Gate gate, final MembershipService membership) {
-        mGate = gate;
-        mMembership = membership;
+    TargetEndpoint(final TargetRegistry registry) {
+        mRegistry = registry;
     }
 
     @Override
@@ -38,11 +37,7 @@
 
     private LocalAnswer announce(final String body) {
         try {
-            final TargetAnnouncement announcement =
-                    MAPPER.readValue(body, TargetAnnouncement.class);
-            if (mGate.announce(announcement, Addresses.parse(announcement.address()))) {
-                mMembership.tellTarget(mGate.record());
-            }
+            mRegistry.announce(MAPPER.readValue(body, TargetAnnouncement.class));
             return LocalAnswer.json(200, "{\"accepted\":true}");
         } catch (JsonProcessingException | IllegalArgumentException e) {
             return LocalAnswer.json(
@@ -51,9 +46,7 @@
     }
 
     private LocalAnswer withdraw() {
-        if (mGate.withdrawTarget()) {
-            mMembership.tellTarget(Optional.empty());
-        }
+        mRegistry.withdraw();
         return LocalAnswer.json(200, "{\"accepted\":true}");
     }
 }
--- a/src/main/java/io/bilberrylane/peer/AnswerHead.java
+++ b/src/main/java/io/bilberrylane/peer/AnswerHead.java
@@ -7,27 +7,22 @@
  *
  * @param status the HTTP status
  * @param headers the end-to-end header fields
+ * @param notRun whether the target says that it refused the call without running it
  */
-public record AnswerHead(int status, List<HeaderField> headers) {
-    /** The field that says whether a refused or failed call was run. */
-    public static final String OUTCOME = "Bilberrylane-Outcome";
-
+public record AnswerHead(int status, List<HeaderField> headers, boolean notRun) {
     /** Copies the headers. */
     public AnswerHead {
         headers = List.copyOf(headers);
     }
 
     /**
-     * Returns whether the target says that it refused the call without running it.
+     * Returns the head of an answer to a call that was run.
      *
-     * @return true for a status of 400 or above with the outcome {@code not-run}
+     * @param status the HTTP status
+     * @param headers the end-to-end header fields
+     * @return the head
      */
-    public boolean saysNotRun() {
-        return status >= 400
-                && headers.stream()
-                        .anyMatch(
-                                field ->
-                                        field.name().equalsIgnoreCase(OUTCOME)
-                                                && field.value().equals("not-run"));
+    public static AnswerHead of(final int status, final List<HeaderField> headers) {
+        return new AnswerHead(status, headers, false);
     }
 }
--- a/src/main/java/io/bilberrylane/peer/CallHead.java
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -16,6 +16,9 @@
  * @param idempotent whether the call may run more than once
  * @param key the idempotency key, or empty
  * @param bodyBytes the body's length in bytes; 0 without a body, -1 when not known
+ * @param requestId the identity that the target repeats in its answer
+ * @param priority the place in queues; 0 goes first
+ * @param objectiveMillis time that remains until an answer is late, in milliseconds
  */
 public record CallHead(
         String callId,
@@ -27,7 +30,10 @@
         int attempt,
         boolean idempotent,
         String key,
-        long bodyBytes) {
+        long bodyBytes,
+        String requestId,
+        int priority,
+        long objectiveMillis) {
     /** Checks the parts and copies the headers. */
     public CallHead {
         Objects.requireNonNull(callId, "callId is null");
@@ -35,6 +41,7 @@
         Objects.requireNonNull(method, "method is null");
         Objects.requireNonNull(uri, "uri is null");
         Objects.requireNonNull(key, "key is null");
+        Objects.requireNonNull(requestId, "requestId is null");
         headers = List.copyOf(headers);
     }
 
@@ -62,10 +69,14 @@
      * @param newCallId the identity of the attempt
      * @param remainingMillis time that remains until the deadline, in milliseconds
      * @param newAttempt the number of the attempt
+     * @param elapsedMillis time since the call came, in milliseconds
      * @return a changed copy
      */
     public CallHead forAttempt(
-            final String newCallId, final long remainingMillis, final int newAttempt) {
+            final String newCallId,
+            final long remainingMillis,
+            final int newAttempt,
+            final long elapsedMillis) {
         return new CallHead(
                 newCallId,
                 service,
@@ -76,6 +87,9 @@
                 newAttempt,
                 idempotent,
                 key,
-                bodyBytes);
+                bodyBytes,
+                requestId,
+                priority,
+                objectiveMillis - elapsedMillis);
     }
 }
--- a/src/main/java/io/bilberrylane/peer/GossipCodec.java
+++ b/src/main/java/io/bilberrylane/peer/GossipCodec.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.peer;
 
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.membership.SwimMessage;
 
 /** Turns membership datagrams into MessagePack and back. */
@@ -15,11 +16,11 @@
     public static byte[] encode(final SwimMessage message) {
         return switch (message) {
             case SwimMessage.Ping m ->
-                    common(MessageType.GOSSIP_PING, 4, m).integer(3, m.sequence()).toBytes();
+                    common(MessageType.GOSSIP_PING, 5, m).integer(3, m.sequence()).toBytes();
             case SwimMessage.Ack m ->
-                    common(MessageType.GOSSIP_ACK, 4, m).integer(3, m.sequence()).toBytes();
+                    common(MessageType.GOSSIP_ACK, 5, m).integer(3, m.sequence()).toBytes();
             case SwimMessage.PingRequest m ->
-                    common(MessageType.GOSSIP_PING_REQUEST, 5, m)
+                    common(MessageType.GOSSIP_PING_REQUEST, 6, m)
                             .integer(3, m.sequence())
                             .text(5, m.subject())
                             .toBytes();
@@ -29,7 +30,8 @@
     private static FieldWriter common(final int type, final int fields, final SwimMessage message) {
         return FieldWriter.of(type, fields)
                 .text(1, message.from())
-                .integer(2, message.configurationVersion())
+                .integer(2, message.configurationVersion().catalogue())
+                .integer(6, message.configurationVersion().outages())
                 .list(4, message.updates(), ValueFormats::writeMember);
     }
 
@@ -44,7 +46,8 @@
     public static SwimMessage decode(final byte[] bytes) {
         final FieldReader fields = FieldReader.of(bytes);
         final String from = fields.text(1);
-        final long version = fields.integer(2);
+        final ConfigurationVersion version =
+                new ConfigurationVersion(fields.integer(2), fields.integer(6));
         final long sequence = fields.integer(3);
         final java.util.List<io.bilberrylane.membership.Member> updates =
                 fields.list(4, ValueFormats::readMember);
--- a/src/main/java/io/bilberrylane/peer/PeerCodec.java
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.peer;
 
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.outcome.CallPhase;
 import java.util.Objects;
 
@@ -56,9 +57,10 @@
                             .value(5, m.load(), ValueFormats::writeLoad)
                             .toBytes();
             case PeerMessage.Head m ->
-                    stream(MessageType.HEAD, 3, m)
+                    stream(MessageType.HEAD, 4, m)
                             .integer(2, m.head().status())
                             .list(3, m.head().headers(), ValueFormats::writeHeader)
+                            .flag(4, m.head().notRun())
                             .toBytes();
             case PeerMessage.Data m ->
                     stream(MessageType.DATA, 2, m).binary(2, m.bytes()).toBytes();
@@ -78,7 +80,7 @@
     }
 
     private static byte[] encodeOpen(final int streamId, final CallHead head) {
-        return FieldWriter.of(MessageType.OPEN, 11)
+        return FieldWriter.of(MessageType.OPEN, 14)
                 .integer(1, streamId)
                 .text(2, head.callId())
                 .text(3, head.service())
@@ -90,6 +92,9 @@
                 .flag(9, head.idempotent())
                 .text(10, head.key())
                 .integer(11, head.bodyBytes())
+                .text(12, head.requestId())
+                .integer(13, head.priority())
+                .integer(14, head.objectiveMillis())
                 .toBytes();
     }
 
@@ -101,8 +106,9 @@
                             .text(2, m.callId())
                             .toBytes();
             case PeerMessage.ConfigurationPull m ->
-                    numbered(MessageType.CONFIGURATION_PULL, 2, m.questionId())
-                            .integer(2, m.knownVersion())
+                    numbered(MessageType.CONFIGURATION_PULL, 3, m.questionId())
+                            .integer(2, m.known().catalogue())
+                            .integer(3, m.known().outages())
                             .toBytes();
             case PeerMessage.SyncRequest m ->
                     numbered(MessageType.SYNC_REQUEST, 2, m.questionId())
@@ -122,9 +128,11 @@
                             .integer(2, m.phase().ordinal())
                             .toBytes();
             case PeerMessage.ConfigurationReply m ->
-                    numbered(MessageType.CONFIGURATION_REPLY, 3, m.questionId())
-                            .integer(2, m.version())
+                    numbered(MessageType.CONFIGURATION_REPLY, 5, m.questionId())
+                            .integer(2, m.version().catalogue())
                             .text(3, m.document())
+                            .integer(4, m.version().outages())
+                            .list(5, m.outages(), ValueFormats::writeText)
                             .toBytes();
             case PeerMessage.SyncReply m ->
                     numbered(MessageType.SYNC_REPLY, 2, m.questionId())
@@ -171,7 +179,8 @@
                             fields.smallInteger(1),
                             new AnswerHead(
                                     fields.smallInteger(2),
-                                    fields.list(3, ValueFormats::readHeader)));
+                                    fields.list(3, ValueFormats::readHeader),
+                                    fields.flag(4)));
             case MessageType.DATA -> new PeerMessage.Data(fields.smallInteger(1), fields.binary(2));
             case MessageType.END ->
                     new PeerMessage.End(
@@ -200,10 +209,15 @@
                     new PeerMessage.OutcomeReply(
                             fields.integer(1), fields.constant(2, CallPhase.values()));
             case MessageType.CONFIGURATION_PULL ->
-                    new PeerMessage.ConfigurationPull(fields.integer(1), fields.integer(2));
+                    new PeerMessage.ConfigurationPull(
+                            fields.integer(1),
+                            new ConfigurationVersion(fields.integer(2), fields.integer(3)));
             case MessageType.CONFIGURATION_REPLY ->
                     new PeerMessage.ConfigurationReply(
-                            fields.integer(1), fields.integer(2), fields.text(3));
+                            fields.integer(1),
+                            new ConfigurationVersion(fields.integer(2), fields.integer(4)),
+                            fields.text(3),
+                            fields.list(5, ValueFormats::readText));
             case MessageType.SYNC_REQUEST ->
                     new PeerMessage.SyncRequest(
                             fields.integer(1), fields.list(2, ValueFormats::readMember));
@@ -233,6 +247,9 @@
                 fields.smallInteger(8),
                 fields.flag(9),
                 fields.text(10),
-                fields.integer(11));
+                fields.integer(11),
+                fields.text(12),
+                fields.smallInteger(13),
+                fields.integer(14));
     }
 }
--- a/src/main/java/io/bilberrylane/peer/PeerMessage.java
+++ b/src/main/java/io/bilberrylane/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.peer;
 
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.membership.Member;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.policy.TargetLoad;
@@ -172,18 +173,26 @@
      * Asks for the configuration.
      *
      * @param questionId the question
-     * @param knownVersion the newest version that the sender holds
+     * @param known the version that the sender holds
      */
-    record ConfigurationPull(long questionId, long knownVersion) implements Question {}
+    record ConfigurationPull(long questionId, ConfigurationVersion known) implements Question {}
 
     /**
      * Carries the configuration.
      *
      * @param questionId the question
-     * @param version its version; 0 when the sender has none
-     * @param document the document, or empty when the asker's version is as new
-     */
-    record ConfigurationReply(long questionId, long version, String document) implements Reply {}
+     * @param version its version; NONE when the sender has none
+     * @param document the catalogue, or empty when the asker's is as new
+     * @param outages the data centres that are out besides those of the catalogue
+     */
+    record ConfigurationReply(
+            long questionId, ConfigurationVersion version, String document, List<String> outages)
+            implements Reply {
+        /** Copies the names. */
+        public ConfigurationReply {
+            outages = List.copyOf(outages);
+        }
+    }
 
     /**
      * Offers all known members and asks for the other's.
--- a/src/main/java/io/bilberrylane/peer/ValueFormats.java
+++ b/src/main/java/io/bilberrylane/peer/ValueFormats.java
@@ -14,6 +14,16 @@
 final class ValueFormats {
     private ValueFormats() {}
 
+    // -- text
+
+    static void writeText(final String text, final MessageBufferPacker packer) throws IOException {
+        packer.packString(text);
+    }
+
+    static String readText(final Value value) {
+        return value.asStringValue().asString();
+    }
+
     // -- load
 
     static void writeLoad(final TargetLoad load, final MessageBufferPacker packer)
--- /dev/null
+++ b/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
@@ -0,0 +1,125 @@
+package io.bilberrylane.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.http.LocalAnswer;
+import io.bilberrylane.http.LocalEndpoint;
+import io.bilberrylane.membership.TargetAnnouncement;
+import io.bilberrylane.membership.TargetRegistry;
+import java.util.concurrent.TimeUnit;
+
+/** Turns the workers' heartbeats and leaves into announcements of targets. */
+final class HeartbeatEndpoint implements LocalEndpoint {
+    /** The path prefix of every call that a worker makes to its node. */
+    static final String PREFIX = "/-/";
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final String BEAT = PREFIX + "Instances.Heartbeat/";
+    private static final String LEAVE = PREFIX + "Instances.Leave/";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Heartbeats may be late by seconds; a crash shows on the worker's connections first. */
+    private static final int BEATS_PER_LEASE = 5;
+
+    private final TargetRegistry mRegistry;
+    private final String mTargetAddress;
+    private final long mLeaseMillis;
+
+    HeartbeatEndpoint(
+            final TargetRegistry registry, final String targetAddress, final long beatMillis) {
+        mRegistry = registry;
+        mTargetAddress = targetAddress;
+        mLeaseMillis = beatMillis * BEATS_PER_LEASE;
+    }
+
+    @Override
+    public LocalAnswer answer(final String method, final String path, final String body) {
+        if (!method.equals("POST")) {
+            return LocalAnswer.json(405, "{\"error\":\"method-not-allowed\"}");
+        }
+        if (path.startsWith(BEAT)) {
+            return beat(path.substring(BEAT.length()), body);
+        }
+        if (path.startsWith(LEAVE)) {
+            mRegistry.depart(path.substring(LEAVE.length()));
+            return LocalAnswer.json(200, "{}");
+        }
+        return LocalAnswer.json(404, "{\"error\":\"not-found\"}");
+    }
+
+    private LocalAnswer beat(final String id, final String body) {
+        try {
+            mRegistry.announce(read(id, MAPPER.readTree(body)));
+            return LocalAnswer.json(200, "{}");
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "heartbeat of %s is ignored: %s", id, e.getMessage());
+            return LocalAnswer.json(
+                    400, MAPPER.createObjectNode().put("error", e.getMessage()).toString());
+        }
+    }
+
+    // -- format
+
+    private TargetAnnouncement read(final String id, final JsonNode root) {
+        final JsonNode info = root.path("info");
+        final JsonNode status = root.path("status");
+        final String address = text(root, "address");
+        if (!mTargetAddress.isEmpty() && !mTargetAddress.equals(address)) {
+            throw new IllegalArgumentException(
+                    "address " + address + " is not that of the worker here, " + mTargetAddress);
+        }
+        if (id.isEmpty()) {
+            throw new IllegalArgumentException("the path names no worker");
+        }
+        final int slots = (int) integer(info, "slots");
+        return new TargetAnnouncement(
+                text(info, "service"),
+                id,
+                address,
+                slots,
+                0,
+                slots,
+                0,
+                integer(root, "born"),
+                integer(status, "seqNo"),
+                mLeaseMillis,
+                isDraining(text(status, "state")),
+                false,
+                seconds(status, "coldRemainingS"));
+    }
+
+    private static boolean isDraining(final String state) {
+        return switch (state) {
+            case "ready" -> false;
+            case "draining" -> true;
+            default -> throw new IllegalArgumentException("state '" + state + "' is not known");
+        };
+    }
+
+    private static String text(final JsonNode parent, final String field) {
+        final JsonNode node = parent.path(field);
+        if (!node.isTextual() || node.asText().isEmpty()) {
+            throw new IllegalArgumentException(field + " is no text");
+        }
+        return node.asText();
+    }
+
+    private static long integer(final JsonNode parent, final String field) {
+        final JsonNode node = parent.path(field);
+        if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+            throw new IllegalArgumentException(field + " is no whole number");
+        }
+        return node.asLong();
+    }
+
+    private static long seconds(final JsonNode parent, final String field) {
+        final JsonNode node = parent.path(field);
+        if (!node.isNumber()) {
+            throw new IllegalArgumentException(field + " is no number");
+        }
+        return Math.round(node.asDouble() * 1_000);
+    }
+}
--- a/src/main/java/io/bilberrylane/platform/ObjectJson.java
+++ b/src/main/java/io/bilberrylane/platform/ObjectJson.java
@@ -3,82 +3,149 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
 import java.util.ArrayList;
 import java.util.List;
 
-/** How objects stand in JSON on the platform's API. */
+/** How objects, lists and events stand in the store's bodies. */
 public final class ObjectJson {
-    /** The path that all kinds stand under. */
-    public static final String BASE_PATH = "/apis/bilberrylane/v1/";
-
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final String METADATA = "metadata";
+    private static final String NAME = "name";
+    private static final String VERSION = "revision";
+    private static final String SPEC = "spec";
+    private static final String STATUS = "status";
+    private static final String ITEMS = "items";
+    private static final String MORE = "hasMore";
+    private static final String EVENTS = "events";
+    private static final String OBJECT = "object";
+    private static final String DELETED = "deleted";
+    private static final String STORE_VERSION = "currentRev";
+
     private ObjectJson() {}
 
+    // -- objects
+
     /**
      * Returns the JSON of an object.
      *
-     * @param object the object
-     * @return a document
+     * @param object the object; a version of 0 is left out
+     * @return its document
      */
     public static ObjectNode write(final StoredObject object) {
         final ObjectNode root = MAPPER.createObjectNode();
-        root.put("kind", object.kind());
-        root.putObject("metadata")
-                .put("name", object.name())
-                .put("resourceVersion", String.valueOf(object.version()));
-        root.set("spec", object.spec());
+        final ObjectNode metadata = root.putObject(METADATA);
+        metadata.put(NAME, object.name());
+        if (object.version() > 0) {
+            metadata.put(VERSION, object.version());
+        }
+        root.set(SPEC, object.spec());
+        root.set(STATUS, object.status());
         return root;
     }
 
     /**
      * Returns the object of a document.
      *
+     * @param kind the kind that was asked for
      * @param root the document
      * @return the object
-     * @throws BilberrylaneException with PLATFORM_UNAVAILABLE when it is no object
+     * @throws BilberrylaneException with PLATFORM_UNREADABLE when the document holds none
      */
-    public static StoredObject read(final JsonNode root) {
-        final JsonNode metadata = root.path("metadata");
-        if (!root.has("spec") || !metadata.has("name")) {
-            throw new BilberrylaneException(
-                    ErrorCode.PLATFORM_UNAVAILABLE, "the platform sent no object");
+    public static StoredObject read(final String kind, final JsonNode root) {
+        final JsonNode metadata = root.path(METADATA);
+        final JsonNode name = metadata.path(NAME);
+        final JsonNode version = metadata.path(VERSION);
+        if (!name.isTextual() || !(version.isMissingNode() || version.isIntegralNumber())) {
+            throw unreadable("an object of kind " + kind + " has no name or version", null);
         }
         return new StoredObject(
-                root.path("kind").asText(),
-                metadata.path("name").asText(),
-                metadata.path("resourceVersion").asLong(),
-                root.path("spec"));
+                kind, name.asText(), version.asLong(), root.path(SPEC), root.path(STATUS));
     }
 
+    // -- lists
+
     /**
-     * Returns the list of a document.
+     * Returns the JSON of one page of a list.
      *
-     * @param root the document
-     * @return the list
+     * @param list the page
+     * @param more whether another page follows
+     * @return its document
      */
-    public static ObjectList readList(final JsonNode root) {
+    public static ObjectNode writeList(final ObjectList list, final boolean more) {
+        final ObjectNode root = MAPPER.createObjectNode();
+        final ArrayNode items = root.putArray(ITEMS);
+        list.items().forEach(item -> items.add(write(item)));
+        return root.put(MORE, more).put(STORE_VERSION, list.version());
+    }
+
+    static ObjectList readList(final String kind, final JsonNode root) {
         final List<StoredObject> items = new ArrayList<>();
-        root.path("items").forEach(item -> items.add(read(item)));
-        return new ObjectList(root.path("metadata").path("resourceVersion").asLong(), items);
+        root.path(ITEMS).forEach(item -> items.add(read(kind, item)));
+        return new ObjectList(storeVersion(root), items);
+    }
+
+    static boolean hasMore(final JsonNode root) {
+        return root.path(MORE).asBoolean();
+    }
+
+    // -- events
+
+    /**
+     * Returns the JSON of the answer to a watch.
+     *
+     * @param events the changes
+     * @return their document
+     */
+    public static ObjectNode writeEvents(final ObjectEvents events) {
+        final ObjectNode root = MAPPER.createObjectNode();
+        final ArrayNode list = root.putArray(EVENTS);
+        for (final ObjectEvent event : events.events()) {
+            list.addObject().put(DELETED, event.deleted()).set(OBJECT, write(event.object()));
+        }
+        return root.put(STORE_VERSION, events.version());
+    }
+
+    static ObjectEvents readEvents(final String kind, final JsonNode root) {
+        final List<ObjectEvent> events = new ArrayList<>();
+        for (final JsonNode event : root.path(EVENTS)) {
+            events.add(
+                    new ObjectEvent(
+                            read(kind, event.path(OBJECT)), event.path(DELETED).asBoolean()));
+        }
+        return new ObjectEvents(storeVersion(root), events);
+    }
+
+    private static long storeVersion(final JsonNode root) {
+        final JsonNode version = root.path(STORE_VERSION);
+        if (!version.isIntegralNumber()) {
+            throw unreadable("the answer names no version", null);
+        }
+        return version.asLong();
     }
 
+    // -- text
+
     /**
      * Returns the document of a text.
      *
      * @param text JSON
-     * @return the document
-     * @throws BilberrylaneException with PLATFORM_UNAVAILABLE when it is no JSON
+     * @return its document
+     * @throws BilberrylaneException with PLATFORM_UNREADABLE when it is no JSON
      */
     public static JsonNode parse(final String text) {
         try {
             return MAPPER.readTree(text);
         } catch (JsonProcessingException e) {
-            throw new BilberrylaneException(
-                    ErrorCode.PLATFORM_UNAVAILABLE, "the platform sent no JSON", e);
+            throw unreadable("the platform sent no JSON", e);
         }
     }
+
+    private static BilberrylaneException unreadable(final String message, final Throwable cause) {
+        return new BilberrylaneException(ErrorCode.PLATFORM_UNREADABLE, message, cause);
+    }
 }
--- a/src/main/java/io/bilberrylane/platform/ObjectStore.java
+++ b/src/main/java/io/bilberrylane/platform/ObjectStore.java
@@ -25,6 +25,14 @@
      */
     CompletableFuture<ObjectList> list(String kind);
 
+    /**
+     * Reads all objects of a kind, as they were some seconds ago at most; costs far less.
+     *
+     * @param kind the kind
+     * @return the objects
+     */
+    CompletableFuture<ObjectList> listStale(String kind);
+
     /**
      * Creates an object.
      *
@@ -46,6 +54,18 @@
      */
     CompletableFuture<StoredObject> update(String kind, String name, long version, JsonNode spec);
 
+    /**
+     * Replaces what is said of an object besides its value.
+     *
+     * @param kind its kind
+     * @param name its name
+     * @param version the version that is replaced
+     * @param status its new status
+     * @return the object; fails with PLATFORM_CONFLICT when the version is not current
+     */
+    CompletableFuture<StoredObject> updateStatus(
+            String kind, String name, long version, JsonNode status);
+
     /**
      * Deletes an object.
      *
@@ -61,8 +81,9 @@
      *
      * @param kind the kind
      * @param version changes after this version are told
+     * @param waitMillis how long the platform keeps one call waiting, in milliseconds
      * @param listener takes the events
      * @return ends the watch when closed
      */
-    AutoCloseable watch(String kind, long version, WatchListener listener);
+    AutoCloseable watch(String kind, long version, long waitMillis, WatchListener listener);
 }
--- a/src/main/java/io/bilberrylane/platform/PlatformClient.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformClient.java
@@ -1,35 +1,30 @@
 package io.bilberrylane.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.net.HttpCaller;
 import io.bilberrylane.net.HttpReply;
 import io.bilberrylane.net.Transport;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Calls the platform's object API over HTTP, one connection for each call. */
 public final class PlatformClient implements ObjectStore {
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-
-    private final Transport mTransport;
     private final HttpCaller mCaller;
     private final URI mBase;
     private final long mTimeoutMillis;
     private final PlatformCounters mCounters = new PlatformCounters();
 
     private PlatformClient(final Transport transport, final URI base, final long timeoutMillis) {
-        mTransport = transport;
         mCaller = HttpCaller.of(transport);
         mBase = base;
         mTimeoutMillis = timeoutMillis;
@@ -65,41 +60,79 @@
     @Override
     public CompletableFuture<StoredObject> get(final String kind, final String name) {
         mCounters.countRead();
-        return call(HttpMethod.GET, path(kind) + "/" + name, "").thenApply(this::object);
+        return call(HttpMethod.GET, StoreCall.ofObject(kind, name), "")
+                .thenApply(text -> ObjectJson.read(kind, ObjectJson.parse(text)));
     }
 
     @Override
     public CompletableFuture<ObjectList> list(final String kind) {
+        return page(kind, "", false, new ArrayList<>());
+    }
+
+    @Override
+    public CompletableFuture<ObjectList> listStale(final String kind) {
+        return page(kind, "", true, new ArrayList<>());
+    }
+
+    private CompletableFuture<ObjectList> page(
+            final String kind,
+            final String after,
+            final boolean stale,
+            final List<StoredObject> before) {
         mCounters.countRead();
-        return call(HttpMethod.GET, path(kind), "")
-                .thenApply(text -> ObjectJson.readList(ObjectJson.parse(text)));
+        return call(HttpMethod.GET, StoreCall.ofPage(kind, after, stale), "")
+                .thenCompose(
+                        text -> {
+                            final JsonNode root = ObjectJson.parse(text);
+                            final ObjectList page = ObjectJson.readList(kind, root);
+                            before.addAll(page.items());
+                            if (!ObjectJson.hasMore(root) || page.items().isEmpty()) {
+                                return CompletableFuture.completedFuture(
+                                        new ObjectList(page.version(), before));
+                            }
+                            final StoredObject last = page.items().get(page.items().size() - 1);
+                            return page(kind, last.name(), stale, before);
+                        });
     }
 
     @Override
     public AutoCloseable watch(
-            final String kind, final long version, final WatchListener listener) {
+            final String kind,
+            final long version,
+            final long waitMillis,
+            final WatchListener listener) {
+        final AtomicBoolean closed = new AtomicBoolean();
+        poll(kind, version, waitMillis, listener, closed);
+        return () -> closed.set(true);
+    }
+
+    private void poll(
+            final String kind,
+            final long version,
+            final long waitMillis,
+            final WatchListener listener,
+            final AtomicBoolean closed) {
+        if (closed.get()) {
+            return;
+        }
         mCounters.countRead();
-        final WatchExchange exchange = new WatchExchange(listener);
-        final ChannelFuture future =
-                connect(
-                        new ChannelInitializer<>() {
-                            @Override
-                            protected void initChannel(final Channel channel) {
-                                channel.pipeline().addLast(new HttpClientCodec(), exchange);
+        final StoreCall call = StoreCall.ofWatch(kind, version, waitMillis);
+        mCaller.call(address(), HttpMethod.GET, call.uri(), "", waitMillis + mTimeoutMillis)
+                .handle(this::text)
+                .thenApply(text -> ObjectJson.readEvents(kind, ObjectJson.parse(text)))
+                .whenComplete(
+                        (events, failure) -> {
+                            if (closed.get()) {
+                                return;
+                            }
+                            if (failure != null) {
+                                listener.onEnded(known(failure));
+                                return;
                             }
+                            listener.onEvents(events);
+                            final long next = Math.max(version, events.version());
+                            poll(kind, next, waitMillis, listener, closed);
                         });
-        future.addListener(
-                done -> {
-                    if (done.isSuccess()) {
-                        final String uri = path(kind) + "?watch=true&resourceVersion=" + version;
-                        future.channel()
-                                .writeAndFlush(
-                                        HttpCaller.request(address(), HttpMethod.GET, uri, ""));
-                    } else {
-                        exchange.end(unavailable(done.cause()));
-                    }
-                });
-        return () -> future.channel().close();
     }
 
     // -- writes
@@ -108,32 +141,45 @@
     public CompletableFuture<StoredObject> create(
             final String kind, final String name, final JsonNode spec) {
         mCounters.countWrite();
-        final String body = ObjectJson.write(new StoredObject(kind, name, 0, spec)).toString();
-        return call(HttpMethod.POST, path(kind), body).thenApply(this::object);
+        final String body = ObjectJson.write(StoredObject.of(kind, name, 0, spec)).toString();
+        return call(HttpMethod.POST, StoreCall.ofKind(kind), body)
+                .thenApply(text -> ObjectJson.read(kind, ObjectJson.parse(text)));
     }
 
     @Override
     public CompletableFuture<StoredObject> update(
             final String kind, final String name, final long version, final JsonNode spec) {
+        return replace(StoreCall.ofObject(kind, name), StoredObject.of(kind, name, version, spec));
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> updateStatus(
+            final String kind, final String name, final long version, final JsonNode status) {
+        return replace(
+                StoreCall.ofStatus(kind, name),
+                new StoredObject(kind, name, version, NullNode.getInstance(), status));
+    }
+
+    private CompletableFuture<StoredObject> replace(
+            final StoreCall call, final StoredObject object) {
         mCounters.countWrite();
-        final String body =
-                ObjectJson.write(new StoredObject(kind, name, version, spec)).toString();
-        return call(HttpMethod.PUT, path(kind) + "/" + name, body).thenApply(this::object);
+        return call(HttpMethod.PUT, call, ObjectJson.write(object).toString())
+                .thenApply(text -> ObjectJson.read(object.kind(), ObjectJson.parse(text)));
     }
 
     @Override
     public CompletableFuture<Void> delete(
             final String kind, final String name, final long version) {
         mCounters.countWrite();
-        return call(HttpMethod.DELETE, path(kind) + "/" + name + "?resourceVersion=" + version, "")
+        return call(HttpMethod.DELETE, StoreCall.ofVersion(kind, name, version), "")
                 .thenApply(text -> null);
     }
 
     // -- calls
 
     private CompletableFuture<String> call(
-            final HttpMethod method, final String uri, final String body) {
-        return mCaller.call(address(), method, uri, body, mTimeoutMillis).handle(this::text);
+            final HttpMethod method, final StoreCall call, final String body) {
+        return mCaller.call(address(), method, call.uri(), body, mTimeoutMillis).handle(this::text);
     }
 
     private String text(final HttpReply reply, final Throwable failure) {
@@ -152,24 +198,14 @@
         return new InetSocketAddress(mBase.getHost(), mBase.getPort());
     }
 
-    private ChannelFuture connect(final ChannelHandler initializer) {
-        return mTransport
-                .clientBootstrap()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(initializer)
-                .connect(address());
-    }
-
-    private StoredObject object(final String text) {
-        return ObjectJson.read(ObjectJson.parse(text));
-    }
-
-    private static String path(final String kind) {
-        return ObjectJson.BASE_PATH + kind;
+    private static BilberrylaneException known(final Throwable failure) {
+        final Throwable cause =
+                failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof BilberrylaneException known ? known : unavailable(cause);
     }
 
     private static BilberrylaneException unavailable(final Throwable cause) {
         return new BilberrylaneException(
-                ErrorCode.PLATFORM_UNAVAILABLE, "no connection to the platform", cause);
+                ErrorCode.PLATFORM_UNAVAILABLE, "no answer of the platform: " + cause, cause);
     }
 }
--- /dev/null
+++ b/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
@@ -0,0 +1,174 @@
+package io.bilberrylane.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.Finding;
+import io.bilberrylane.catalogue.CallerLimits;
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.catalogue.CatalogueCheck;
+import io.bilberrylane.catalogue.ConfigurationDocument;
+import io.bilberrylane.catalogue.ConfigurationFormat;
+import io.bilberrylane.catalogue.Route;
+import io.bilberrylane.catalogue.RunRule;
+import io.bilberrylane.catalogue.ServiceEntry;
+import io.bilberrylane.catalogue.TargetFacts;
+import io.bilberrylane.catalogue.WeightedService;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/** Reads the configuration that the platform's operator writes. */
+final class PlatformConfigurationFormat implements ConfigurationFormat {
+    private static final String KIND = "config";
+    private static final String NAME = "main";
+    private static final String OUTAGES = "evacuations";
+
+    @Override
+    public String kind() {
+        return KIND;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public Optional<String> outageKind() {
+        return Optional.of(OUTAGES);
+    }
+
+    @Override
+    public ConfigurationDocument document(final long version, final JsonNode spec) {
+        return new ConfigurationDocument(
+                version, spec.path("version").asText(), "operator", spec.toString());
+    }
+
+    @Override
+    public CatalogueCheck check(final String place, final String text) {
+        final List<Finding> findings = new ArrayList<>();
+        final Catalogue.Builder builder = Catalogue.builder();
+        try {
+            final JsonNode root = ObjectJson.parse(text);
+            read(place, root, builder, findings);
+        } catch (BilberrylaneException e) {
+            findings.add(Finding.error(place, "unreadable", e.getMessage()));
+        }
+        return new CatalogueCheck(builder.build(), findings);
+    }
+
+    private static void read(
+            final String place,
+            final JsonNode root,
+            final Catalogue.Builder builder,
+            final List<Finding> findings) {
+        int number = 0;
+        for (final JsonNode service : root.path("services")) {
+            final String at = place + " services[" + number++ + "]";
+            guarded(at, findings, () -> builder.entry(entry(service)));
+        }
+        guarded(
+                place + " limits",
+                findings,
+                () -> builder.callerLimits(callerLimits(root.path("limits"))));
+        number = 0;
+        for (final JsonNode virtualHost : root.path("virtualHosts")) {
+            final String host = virtualHost.path("host").asText();
+            final String at = place + " virtualHosts[" + number++ + "]";
+            int route = 0;
+            for (final JsonNode path : virtualHost.path("paths")) {
+                guarded(
+                        at + " paths[" + route++ + "]",
+                        findings,
+                        () -> builder.route(route(host, path)));
+            }
+        }
+    }
+
+    private static void guarded(
+            final String place, final List<Finding> findings, final Runnable part) {
+        try {
+            part.run();
+        } catch (IllegalArgumentException e) {
+            findings.add(Finding.error(place, "bad-value", e.getMessage()));
+        }
+    }
+
+    // -- parts
+
+    private static ServiceEntry entry(final JsonNode service) {
+        return ServiceEntry.of(
+                text(service, "name"),
+                new TargetFacts(
+                        service.path("maxConnections").asInt(),
+                        millis(service, "coldStartS", 0),
+                        service.path("coldPerS").asDouble(),
+                        service.path("healthPath").asText()));
+    }
+
+    private static CallerLimits callerLimits(final JsonNode limits) {
+        final CallerLimits base = CallerLimits.DEFAULT;
+        return new CallerLimits(
+                limits.path("maxHeaderBytes").asInt(base.headBytes()),
+                limits.path("maxBodyBytes").asLong(base.bodyBytes()),
+                millis(limits, "headerTimeoutS", base.headTimeoutMillis()),
+                millis(limits, "idleTimeoutS", base.idleTimeoutMillis()));
+    }
+
+    private static Route route(final String host, final JsonNode route) {
+        final long timeoutMillis = millis(route, "timeoutS", 0);
+        return new Route(
+                host.toLowerCase(Locale.ROOT),
+                text(route, "pathPrefix"),
+                parts(route),
+                runRule(text(route, "type")),
+                timeoutMillis,
+                millis(route, "targetLatencyS", timeoutMillis),
+                Math.max(1, route.path("attempts").asInt(1)),
+                Math.max(0, route.path("priority").asInt(0)),
+                regions(route));
+    }
+
+    private static RunRule runRule(final String type) {
+        return switch (type) {
+            case "safe" -> RunRule.REPEATABLE;
+            case "unsafe", "upload" -> RunRule.ONCE;
+            default -> throw new IllegalArgumentException("type '" + type + "' is not known");
+        };
+    }
+
+    private static List<WeightedService> parts(final JsonNode route) {
+        final List<WeightedService> parts = new ArrayList<>();
+        for (final JsonNode part : route.path("trafficSplit")) {
+            parts.add(new WeightedService(text(part, "service"), part.path("weight").asDouble()));
+        }
+        if (parts.isEmpty()) {
+            parts.add(new WeightedService(text(route, "service"), 1));
+        }
+        return parts;
+    }
+
+    private static Set<String> regions(final JsonNode route) {
+        final Set<String> regions = new HashSet<>();
+        route.path("allowedRegions").forEach(region -> regions.add(region.asText()));
+        return regions;
+    }
+
+    // -- values
+
+    private static String text(final JsonNode parent, final String field) {
+        final JsonNode node = parent.path(field);
+        if (!node.isTextual() || node.asText().isEmpty()) {
+            throw new IllegalArgumentException(field + " is no text");
+        }
+        return node.asText();
+    }
+
+    private static long millis(final JsonNode parent, final String field, final long fallback) {
+        final JsonNode node = parent.path(field);
+        return node.isNumber() ? Math.round(node.asDouble() * 1_000) : fallback;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/bilberrylane/platform/PlatformProfile.java
@@ -0,0 +1,38 @@
+package io.bilberrylane.platform;
+
+import io.bilberrylane.http.HeaderNames;
+import io.bilberrylane.http.InterfaceProfile;
+
+/** The interface of the users' platform. */
+public final class PlatformProfile {
+    private static final HeaderNames NAMES =
+            new HeaderNames(
+                    "X-Request-Id",
+                    "X-Request-Deadline-Ms",
+                    "X-Target-Instance",
+                    "X-Instance-Id",
+                    "X-Caller-Service",
+                    "X-Instance-Load",
+                    "X-Not-Executed",
+                    "X-Response-Signature",
+                    "X-Cold-Ms",
+                    true,
+                    true);
+
+    private PlatformProfile() {}
+
+    /**
+     * Returns the profile.
+     *
+     * @param targetAddress the only address that a target beside this node may name; empty for any
+     * @param beatMillis how often targets say that they live, in milliseconds
+     * @return the profile
+     */
+    public static InterfaceProfile of(final String targetAddress, final long beatMillis) {
+        return new InterfaceProfile(
+                NAMES,
+                new PlatformConfigurationFormat(),
+                HeartbeatEndpoint.PREFIX,
+                registry -> new HeartbeatEndpoint(registry, targetAddress, beatMillis));
+    }
+}
--- a/src/main/java/io/bilberrylane/platform/WatchListener.java
+++ b/src/main/java/io/bilberrylane/platform/WatchListener.java
@@ -1,25 +1,18 @@
 package io.bilberrylane.platform;
 
-/** Takes the events of a watch. */
+/** Takes what a watch tells. */
 public interface WatchListener {
     /**
-     * An object was created or changed.
+     * Changes came, or none until the end of a wait.
      *
-     * @param object its new state
+     * @param events all changes since the last call, and the version that they lead to
      */
-    void onChanged(StoredObject object);
-
-    /**
-     * An object was deleted.
-     *
-     * @param object its last state
-     */
-    void onDeleted(StoredObject object);
+    void onEvents(ObjectEvents events);
 
     /**
      * The watch ended. Last event.
      *
-     * @param cause why; a code of PLATFORM_GONE asks for a new list
+     * @param cause why, with code PLATFORM_GONE when the version is too old
      */
     void onEnded(RuntimeException cause);
 }
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -32,12 +32,20 @@
     /** A queue never holds more than this many times the slots. */
     private static final int QUEUE_FACTOR = 8;
 
+    /** Calls in a second that are kept free, since a call reaches its target a little later. */
+    private static final double RATE_MARGIN = 1;
+
     private final int mSlots;
     private final ColdStart mColdStart;
     private final Map<Integer, Deque<Ticket>> mQueues = new TreeMap<>();
     private final Set<String> mInService = new HashSet<>();
     private final Map<String, Ticket> mWaiting = new HashMap<>();
     private double mServiceMicros;
+    private final SecondRate mRate = new SecondRate();
+    private long mColdUntilNanos;
+    private boolean mColdKnown;
+    private int mColdLimit;
+    private int mWarmLimit;
     private boolean mAccepting = true;
     private int mPeakInService;
 
@@ -61,6 +69,60 @@
         return new GateAdmission(slots, coldSlots, warmUpRequests);
     }
 
+    /**
+     * Sets how many calls the target may get in a second.
+     *
+     * @param bounds what the fleet keeps within
+     * @param coldPerSecond calls per second that a cold target bears; 0 without a limit
+     */
+    public void boundRates(final FleetBounds bounds, final double coldPerSecond) {
+        if (coldPerSecond <= 0) {
+            mColdLimit = 0;
+            mWarmLimit = 0;
+            return;
+        }
+        mColdLimit = Math.max(1, (int) Math.floor(coldPerSecond));
+        mWarmLimit =
+                (int)
+                        Math.max(
+                                mColdLimit,
+                                Math.floor(
+                                        coldPerSecond * bounds.coldOverage()
+                                                + bounds.coldSlack()
+                                                - RATE_MARGIN));
+    }
+
+    /**
+     * Takes note of how long the target stays cold.
+     *
+     * @param millis the time in milliseconds; 0 when it is warm
+     * @param nowNanos the monotonic clock
+     */
+    public void coldFor(final long millis, final long nowNanos) {
+        mColdKnown = millis > 0;
+        mColdUntilNanos = nowNanos + millis * 1_000_000L;
+    }
+
+    private int rateLimit(final long nowNanos) {
+        final boolean cold = mColdKnown && nowNanos - mColdUntilNanos < 0;
+        return cold ? mColdLimit : mWarmLimit;
+    }
+
+    private boolean hasRoom(final long nowNanos) {
+        return mInService.size() < mColdStart.allowance()
+                && mRate.waitNanos(rateLimit(nowNanos), nowNanos) == 0;
+    }
+
+    /**
+     * Returns when a waiting call may enter although no call ends.
+     *
+     * @param nowNanos the monotonic clock
+     * @return nanoseconds from now; 0 when only the end of a call helps
+     */
+    public long rateWaitNanos(final long nowNanos) {
+        return mWaiting.isEmpty() ? 0 : mRate.waitNanos(rateLimit(nowNanos), nowNanos);
+    }
+
     // -- queries
 
     /**
@@ -109,8 +171,8 @@
         if (!mAccepting) {
             return new AdmissionDecision.Refused(ErrorCode.LEAVING);
         }
-        if (mWaiting.isEmpty() && mInService.size() < mColdStart.allowance()) {
-            enter(ticket);
+        if (mWaiting.isEmpty() && hasRoom(nowNanos)) {
+            enter(ticket, nowNanos);
             return new AdmissionDecision.Admitted();
         }
         if (ticket.queueDeadlineNanos() - nowNanos <= 0
@@ -156,12 +218,12 @@
     public Settled settle(final long nowNanos) {
         final List<Ticket> expired = expire(nowNanos);
         final List<Ticket> admitted = new ArrayList<>();
-        while (mInService.size() < mColdStart.allowance()) {
+        while (hasRoom(nowNanos)) {
             final Ticket next = next();
             if (next == null) {
                 break;
             }
-            enter(next);
+            enter(next, nowNanos);
             admitted.add(next);
         }
         return new Settled(admitted, expired);
@@ -195,12 +257,13 @@
 
     // -- queue
 
-    private void enter(final Ticket ticket) {
+    private void enter(final Ticket ticket, final long nowNanos) {
         if (mInService.size() >= mColdStart.allowance()) {
             throw new BilberrylaneException(
                     ErrorCode.INVARIANT_VIOLATED, "requests in service exceed the allowance");
         }
         mInService.add(ticket.callId());
+        mRate.note(nowNanos);
         mPeakInService = Math.max(mPeakInService, mInService.size());
     }
 
--- a/src/main/java/io/bilberrylane/standin/ObjectTable.java
+++ b/src/main/java/io/bilberrylane/standin/ObjectTable.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.platform.ObjectEvent;
+import io.bilberrylane.platform.ObjectEvents;
 import io.bilberrylane.platform.ObjectList;
 import io.bilberrylane.platform.StoredObject;
 import java.util.ArrayDeque;
@@ -17,7 +19,7 @@
     private static final int HISTORY_EVENTS = 4_096;
 
     /** A change of one object. */
-    record Event(String type, StoredObject object, long version) {}
+    record Event(StoredObject object, boolean deleted, long version) {}
 
     private final Map<String, StoredObject> mObjects = new TreeMap<>();
     private final Deque<Event> mHistory = new ArrayDeque<>();
@@ -42,20 +44,34 @@
         if (mObjects.containsKey(key(kind, name))) {
             throw new BilberrylaneException(ErrorCode.PLATFORM_CONFLICT, name + " already exists");
         }
-        return store("ADDED", new StoredObject(kind, name, mVersion + 1, spec));
+        return store(StoredObject.of(kind, name, mVersion + 1, spec));
     }
 
     synchronized StoredObject update(
             final String kind, final String name, final long version, final JsonNode spec) {
-        checkVersion(get(kind, name), version);
-        return store("MODIFIED", new StoredObject(kind, name, mVersion + 1, spec));
+        final StoredObject held = get(kind, name);
+        checkVersion(held, version);
+        if (held.spec().equals(spec)) {
+            return held;
+        }
+        return store(new StoredObject(kind, name, mVersion + 1, spec, held.status()));
+    }
+
+    synchronized StoredObject updateStatus(
+            final String kind, final String name, final long version, final JsonNode status) {
+        final StoredObject held = get(kind, name);
+        checkVersion(held, version);
+        if (held.status().equals(status)) {
+            return held;
+        }
+        return store(new StoredObject(kind, name, mVersion + 1, held.spec(), status));
     }
 
     synchronized StoredObject delete(final String kind, final String name, final long version) {
         final StoredObject object = get(kind, name);
         checkVersion(object, version);
         mObjects.remove(key(kind, name));
-        record(new Event("DELETED", object, ++mVersion));
+        record(new Event(object, true, ++mVersion));
         return object;
     }
 
@@ -79,14 +95,29 @@
         return events;
     }
 
+    /** Returns the answer to a watch. */
+    synchronized ObjectEvents events(final String kind, final long version) {
+        return new ObjectEvents(
+                mVersion,
+                since(kind, version).stream()
+                        .map(event -> new ObjectEvent(event.object(), event.deleted()))
+                        .toList());
+    }
+
+    /** Drops the history, as after a compaction; the objects stay. */
+    synchronized void compact() {
+        mHistory.clear();
+        mForgottenVersion = mVersion;
+    }
+
     synchronized long version() {
         return mVersion;
     }
 
-    private StoredObject store(final String type, final StoredObject object) {
+    private StoredObject store(final StoredObject object) {
         mVersion = object.version();
         mObjects.put(key(object.kind(), object.name()), object);
-        record(new Event(type, object, mVersion));
+        record(new Event(object, false, mVersion));
         return object;
     }
 
@@ -98,7 +129,7 @@
     }
 
     private static void checkVersion(final StoredObject object, final long version) {
-        if (object.version() != version) {
+        if (version > 0 && object.version() != version) {
             throw new BilberrylaneException(
                     ErrorCode.PLATFORM_CONFLICT,
                     "version " + version + " is not current; it is " + object.version());
--- a/src/main/java/io/bilberrylane/standin/PlatformStandIn.java
+++ b/src/main/java/io/bilberrylane/standin/PlatformStandIn.java
@@ -3,29 +3,20 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.net.Transport;
+import io.bilberrylane.platform.ObjectEvents;
 import io.bilberrylane.platform.ObjectJson;
-import io.bilberrylane.platform.ObjectList;
+import io.bilberrylane.platform.StoreCall;
 import io.bilberrylane.platform.StoredObject;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
@@ -38,7 +29,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int MAX_VALUE_BYTES = 1024 * 1024;
 
-    private record Watch(String kind, AtomicLong version) {}
+    private record Watch(StoreCall call, FullHttpRequest request, ScheduledFuture<?> end) {}
 
     private final ObjectTable mTable = new ObjectTable();
     private final Map<Channel, Watch> mWatches = new ConcurrentHashMap<>();
@@ -93,6 +84,12 @@
         }
     }
 
+    /** Forgets the history; the objects stay. */
+    public void compact() {
+        mTable.compact();
+        mWatches.keySet().forEach(Channel::close);
+    }
+
     /** Forgets every object. */
     public void wipe() {
         mTable.wipe();
@@ -160,19 +157,28 @@
             return;
         }
         try {
-            final QueryStringDecoder query = new QueryStringDecoder(request.uri());
-            if (query.parameters().containsKey("watch")) {
-                startWatch(ctx, query);
+            final StoreCall call =
+                    StoreCall.parse(request.uri())
+                            .orElseThrow(
+                                    () ->
+                                            new BilberrylaneException(
+                                                    ErrorCode.PLATFORM_NOT_FOUND, request.uri()));
+            if (call.isWatch() && faults.cutWatches()) {
+                ctx.close();
+                return;
+            }
+            if (call.isWatch()) {
+                startWatch(ctx, request, call);
                 return;
             }
-            final String answer = apply(request, query);
+            final String answer = apply(request, call);
             if (write && mRandom.nextInt(100) < faults.losePercent()) {
                 ctx.close();
             } else {
                 JsonServer.answer(ctx, request, 200, answer);
             }
             if (write) {
-                mWatches.forEach(this::push);
+                mWatches.keySet().forEach(this::push);
             }
         } catch (BilberrylaneException e) {
             JsonServer.answer(
@@ -194,85 +200,82 @@
         return limit > 0 && mReadsThisSecond.incrementAndGet() > limit;
     }
 
-    private String apply(final FullHttpRequest request, final QueryStringDecoder query) {
-        final String[] path = query.path().substring(ObjectJson.BASE_PATH.length()).split("/");
-        final String kind = path[0];
-        if (request.method().equals(HttpMethod.POST)) {
-            final StoredObject sent = body(request);
-            return ObjectJson.write(mTable.create(kind, sent.name(), sent.spec())).toString();
+    private String apply(final FullHttpRequest request, final StoreCall call) {
+        final HttpMethod method = request.method();
+        if (method.equals(HttpMethod.POST)) {
+            final StoredObject sent = body(call, request);
+            return ObjectJson.write(mTable.create(call.kind(), sent.name(), sent.spec()))
+                    .toString();
         }
-        if (path.length == 1) {
-            return writeList(mTable.list(kind));
+        if (call.name().isEmpty()) {
+            return ObjectJson.writeList(mTable.list(call.kind()), false).toString();
         }
-        final String name = path[1];
-        if (request.method().equals(HttpMethod.PUT)) {
-            final StoredObject sent = body(request);
-            return ObjectJson.write(mTable.update(kind, name, sent.version(), sent.spec()))
-                    .toString();
+        if (method.equals(HttpMethod.PUT)) {
+            return ObjectJson.write(replace(call, body(call, request))).toString();
         }
-        if (request.method().equals(HttpMethod.DELETE)) {
-            return ObjectJson.write(mTable.delete(kind, name, version(query))).toString();
+        if (method.equals(HttpMethod.DELETE)) {
+            return ObjectJson.write(mTable.delete(call.kind(), call.name(), call.version()))
+                    .toString();
         }
-        return ObjectJson.write(mTable.get(kind, name)).toString();
+        return ObjectJson.write(mTable.get(call.kind(), call.name())).toString();
+    }
+
+    private StoredObject replace(final StoreCall call, final StoredObject sent) {
+        return call.onStatus()
+                ? mTable.updateStatus(call.kind(), call.name(), sent.version(), sent.status())
+                : mTable.update(call.kind(), call.name(), sent.version(), sent.spec());
     }
 
-    private static StoredObject body(final FullHttpRequest request) {
+    private static StoredObject body(final StoreCall call, final FullHttpRequest request) {
         if (request.content().readableBytes() > MAX_VALUE_BYTES) {
             throw new BilberrylaneException(
                     ErrorCode.BODY_TOO_LARGE, "values hold at most a megabyte");
         }
         return ObjectJson.read(
-                ObjectJson.parse(request.content().toString(StandardCharsets.UTF_8)));
+                call.kind(), ObjectJson.parse(request.content().toString(StandardCharsets.UTF_8)));
     }
 
-    private static String writeList(final ObjectList list) {
-        final ObjectNode root = MAPPER.createObjectNode();
-        root.putObject("metadata").put("resourceVersion", String.valueOf(list.version()));
-        final var items = root.putArray("items");
-        list.items().forEach(item -> items.add(ObjectJson.write(item)));
-        return root.toString();
-    }
+    // -- watches
 
-    private static long version(final QueryStringDecoder query) {
-        final List<String> values = query.parameters().get("resourceVersion");
-        return values == null ? 0 : Long.parseLong(values.get(0));
+    private void startWatch(
+            final ChannelHandlerContext ctx, final FullHttpRequest request, final StoreCall call) {
+        mTable.since(call.kind(), call.watch());
+        final Channel channel = ctx.channel();
+        final ScheduledFuture<?> end =
+                ctx.executor()
+                        .schedule(
+                                () -> answerWatch(channel, true),
+                                call.waitMillis(),
+                                TimeUnit.MILLISECONDS);
+        mWatches.put(channel, new Watch(call, request.retain(), end));
+        channel.closeFuture().addListener(done -> forget(channel));
+        push(channel);
     }
 
-    // -- watches
-
-    private void startWatch(final ChannelHandlerContext ctx, final QueryStringDecoder query) {
-        final String kind = query.path().substring(ObjectJson.BASE_PATH.length());
-        final long version = version(query);
-        mTable.since(kind, version);
-        final HttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        HttpUtil.setTransferEncodingChunked(response, true);
-        ctx.writeAndFlush(response);
-        final Watch watch = new Watch(kind, new AtomicLong(version));
-        mWatches.put(ctx.channel(), watch);
-        ctx.channel().closeFuture().addListener(done -> mWatches.remove(ctx.channel()));
-        push(ctx.channel(), watch);
+    private void push(final Channel channel) {
+        channel.eventLoop().execute(() -> answerWatch(channel, false));
     }
 
-    private void push(final Channel channel, final Watch watch) {
-        channel.eventLoop()
-                .execute(
-                        () -> {
-                            for (final ObjectTable.Event event :
-                                    mTable.since(watch.kind(), watch.version().get())) {
-                                watch.version().set(event.version());
-                                channel.write(new DefaultHttpContent(line(event)));
-                            }
-                            channel.flush();
-                        });
+    private void answerWatch(final Channel channel, final boolean waitOver) {
+        final Watch watch = mWatches.get(channel);
+        if (watch == null) {
+            return;
+        }
+        final ObjectEvents events = mTable.events(watch.call().kind(), watch.call().watch());
+        if (events.events().isEmpty() && !waitOver) {
+            return;
+        }
+        final ChannelHandlerContext ctx = channel.pipeline().lastContext();
+        JsonServer.answer(ctx, watch.request(), 200, ObjectJson.writeEvents(events).toString());
+        forget(channel);
     }
 
-    private static io.netty.buffer.ByteBuf line(final ObjectTable.Event event) {
-        final ObjectNode root = MAPPER.createObjectNode();
-        root.put("type", event.type());
-        root.set("object", ObjectJson.write(event.object()));
-        return Unpooled.copiedBuffer(root + "\n", StandardCharsets.UTF_8);
+    private void forget(final Channel channel) {
+        final Watch watch = mWatches.remove(channel);
+        if (watch != null) {
+            watch.end().cancel(false);
+            watch.request().release();
+        }
     }
 
     // -- control
--- a/src/test/java/io/bilberrylane/base/ArchitectureTest.java
+++ b/src/test/java/io/bilberrylane/base/ArchitectureTest.java
@@ -36,10 +36,17 @@
                     Map.entry("membership", Set.of("base")),
                     Map.entry("outcome", Set.of("base")),
                     Map.entry("peer", Set.of("base", "net", "policy", "membership", "outcome")),
-                    Map.entry("platform", Set.of("base", "net")),
+                    Map.entry("platform", Set.of("base", "net", "catalogue", "membership", "http")),
                     Map.entry(
                             "http",
-                            Set.of("base", "net", "catalogue", "policy", "outcome", "peer")),
+                            Set.of(
+                                    "base",
+                                    "net",
+                                    "catalogue",
+                                    "policy",
+                                    "membership",
+                                    "outcome",
+                                    "peer")),
                     Map.entry(
                             "node",
                             Set.of(
@@ -64,6 +71,8 @@
                                     "base",
                                     "net",
                                     "catalogue",
+                                    "policy",
+                                    "http",
                                     "platform",
                                     "node",
                                     "ctl",
--- a/src/test/java/io/bilberrylane/http/HttpEdgeTest.java
+++ b/src/test/java/io/bilberrylane/http/HttpEdgeTest.java
@@ -48,6 +48,8 @@
                         (entry, head, executor, sink) -> new EchoCall(head, sink),
                         Optional.empty(),
                         "",
+                        HeaderNames.OWN,
+                        "",
                         IngressMetrics.NONE);
     }
 
@@ -88,7 +90,7 @@
                     mHead.uri().equals("/unsized")
                             ? List.of()
                             : List.of(new HeaderField("Content-Length", "" + body.length));
-            mSink.onHead(new AnswerHead(status, headers));
+            mSink.onHead(AnswerHead.of(status, headers));
             if (Headers.mayHaveBody(mHead.method(), status)) {
                 mSink.onData(Unpooled.wrappedBuffer(body));
             }
--- a/src/test/java/io/bilberrylane/node/FaultyStore.java
+++ b/src/test/java/io/bilberrylane/node/FaultyStore.java
@@ -149,9 +149,23 @@
                 });
     }
 
+    @Override
+    public CompletableFuture<ObjectList> listStale(final String kind) {
+        throw new UnsupportedOperationException("no stale lists here");
+    }
+
+    @Override
+    public CompletableFuture<StoredObject> updateStatus(
+            final String kind, final String name, final long version, final JsonNode status) {
+        throw new UnsupportedOperationException("no statuses here");
+    }
+
     @Override
     public AutoCloseable watch(
-            final String kind, final long version, final WatchListener listener) {
+            final String kind,
+            final long version,
+            final long waitMillis,
+            final WatchListener listener) {
         throw new UnsupportedOperationException("no watches here");
     }
 
@@ -170,7 +184,7 @@
     }
 
     private StoredObject put(final String kind, final String name, final JsonNode spec) {
-        final StoredObject object = new StoredObject(kind, name, ++mVersion, spec);
+        final StoredObject object = StoredObject.of(kind, name, ++mVersion, spec);
         mObjects.put(name, object);
         mHistory.add(object);
         return object;
