--- a/src/test/java/io/bilberrylane/node/Fleet.java
+++ b/src/test/java/io/bilberrylane/node/Fleet.java
@@ -4,6 +4,7 @@
 import io.bilberrylane.ctl.CatalogueStore;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.platform.PlatformClient;
+import io.bilberrylane.policy.FleetBounds;
 import io.bilberrylane.standin.PlatformFaults;
 import io.bilberrylane.standin.PlatformStandIn;
 import io.bilberrylane.standin.TargetSettings;
@@ -12,6 +13,8 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 /** A few real nodes, targets and a platform stand-in in one process, for contract tests. */
@@ -56,15 +59,21 @@
                                 new NodeSettings(
                                         "host-" + mNodes.size(),
                                         dataCentre,
-                                        loopback(),
-                                        loopback(),
-                                        loopback(),
-                                        loopback(),
+                                        Map.of(),
+                                        "",
+                                        new NodeAddresses(
+                                                loopback(),
+                                                loopback(),
+                                                loopback(),
+                                                loopback(),
+                                                Optional.empty()),
                                         URI.create(
                                                 "http://127.0.0.1:"
                                                         + mPlatform.address().getPort()),
                                         1,
-                                        5_000)));
+                                        5_000,
+                                        FleetBounds.DEFAULT,
+                                        OwnProfile.create())));
         mNodes.add(node);
         mTargets.add(
                 mCloser.add(
--- a/src/test/java/io/bilberrylane/node/KeyDeskTest.java
+++ b/src/test/java/io/bilberrylane/node/KeyDeskTest.java
@@ -145,7 +145,7 @@
                 return;
             }
             final KeptAnswer answer =
-                    KeptAnswer.of(new AnswerHead(200, List.of()), call.mKey.getBytes(), "digest");
+                    KeptAnswer.of(AnswerHead.of(200, List.of()), call.mKey.getBytes(), "digest");
             mAnswers.put(call.mKey, answer.body());
             call.mDesk.finish(call.mKey, "POST /x 1", Optional.of(answer));
         }
@@ -184,7 +184,7 @@
         assertThat(first.mStage).isEqualTo(Stage.HELD);
         assertThat(first.mDesk.start("key-0")).isTrue();
         final KeptAnswer answer =
-                KeptAnswer.of(new AnswerHead(200, List.of()), "a".getBytes(), "digest");
+                KeptAnswer.of(AnswerHead.of(200, List.of()), "a".getBytes(), "digest");
         first.mDesk.finish("key-0", "POST /x 1", Optional.of(answer));
         world.settle();
         for (int i = 0; i < 5; i++) {
--- a/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
+++ b/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
@@ -5,6 +5,7 @@
 
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.membership.ConfigurationVersion;
 import io.bilberrylane.membership.Member;
 import io.bilberrylane.membership.MemberStatus;
 import io.bilberrylane.membership.SwimMessage;
@@ -49,7 +50,12 @@
                                                 attempt,
                                                 flag,
                                                 b,
+                                                millis,
+                                                a,
+                                                attempt,
                                                 millis));
+        final Arbitrary<ConfigurationVersion> versions =
+                Combinators.combine(large, large).as(ConfigurationVersion::new);
         final Arbitrary<Member> members =
                 Combinators.combine(text, text, large, Arbitraries.of(MemberStatus.values()))
                         .as(
@@ -76,7 +82,7 @@
                                 (id, t) ->
                                         new PeerMessage.Head(
                                                 id,
-                                                new AnswerHead(
+                                                AnswerHead.of(
                                                         200, List.of(new HeaderField(t, t))))),
                 small.map(id -> new PeerMessage.End(id, LOAD)),
                 Combinators.combine(small, small).as(PeerMessage.Credit::new),
@@ -88,8 +94,9 @@
                 Combinators.combine(large, text).as(PeerMessage.OutcomeQuery::new),
                 Combinators.combine(large, Arbitraries.of(CallPhase.values()))
                         .as(PeerMessage.OutcomeReply::new),
-                Combinators.combine(large, large).as(PeerMessage.ConfigurationPull::new),
-                Combinators.combine(large, large, text).as(PeerMessage.ConfigurationReply::new),
+                Combinators.combine(large, versions).as(PeerMessage.ConfigurationPull::new),
+                Combinators.combine(large, versions, text, text.list().ofMaxSize(3))
+                        .as(PeerMessage.ConfigurationReply::new),
                 Combinators.combine(large, members.list().ofMaxSize(4))
                         .as(PeerMessage.SyncRequest::new),
                 Combinators.combine(large, members.list().ofMaxSize(4))
@@ -125,7 +132,9 @@
 
         @Example
         void shouldReturnTheSameDatagramWhenItWasEncoded() {
-            final SwimMessage ping = new SwimMessage.PingRequest("a", 3, "b", 9, List.of());
+            final SwimMessage ping =
+                    new SwimMessage.PingRequest(
+                            "a", 3, "b", new ConfigurationVersion(9, 2), List.of());
             assertThat(GossipCodec.decode(GossipCodec.encode(ping))).isEqualTo(ping);
         }
     }
--- a/src/test/java/io/bilberrylane/platform/PlatformClientTest.java
+++ b/src/test/java/io/bilberrylane/platform/PlatformClientTest.java
@@ -126,13 +126,12 @@
         private final WatchListener mListener =
                 new WatchListener() {
                     @Override
-                    public void onChanged(final StoredObject object) {
-                        mEvents.add("changed " + object.name());
-                    }
-
-                    @Override
-                    public void onDeleted(final StoredObject object) {
-                        mEvents.add("deleted " + object.name());
+                    public void onEvents(final ObjectEvents events) {
+                        for (final ObjectEvent event : events.events()) {
+                            mEvents.add(
+                                    (event.deleted() ? "deleted " : "changed ")
+                                            + event.object().name());
+                        }
                     }
 
                     @Override
@@ -149,7 +148,7 @@
         void shouldTellEveryChangeWhenItStartsFromAVersion() throws InterruptedException {
             final long version = mClient.list("k").join().version();
             mClient.create("k", "a", ONE).join();
-            mClient.watch("k", version, mListener);
+            mClient.watch("k", version, 5_000, mListener);
             assertThat(next()).isEqualTo("changed a");
             final StoredObject object = mClient.get("k", "a").join();
             mClient.delete("k", "a", object.version()).join();
@@ -158,7 +157,7 @@
 
         @Test
         void shouldEndWhenItIsCut() throws InterruptedException {
-            mClient.watch("k", 0, mListener);
+            mClient.watch("k", 0, 5_000, mListener);
             mClient.create("k", "a", ONE).join();
             assertThat(next()).isEqualTo("changed a");
             mStandIn.setFaults(new PlatformFaults(false, 0, 0, true, 0, 0));
@@ -169,16 +168,16 @@
         void shouldEndAsGoneWhenTheVersionIsTooOld() throws InterruptedException {
             mClient.create("k", "a", ONE).join();
             mStandIn.wipe();
-            mClient.watch("k", 0, mListener);
+            mClient.watch("k", 0, 5_000, mListener);
             assertThat(next()).isEqualTo("ended PLATFORM_GONE");
         }
     }
 
     @Test
-    void shouldReportUnavailableWhenBytesAreNoJson() {
+    void shouldReportUnreadableWhenBytesAreNoJson() {
         assertThatThrownBy(() -> ObjectJson.parse("{"))
                 .isInstanceOf(BilberrylaneException.class)
                 .extracting(e -> ((BilberrylaneException) e).code())
-                .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+                .isEqualTo(ErrorCode.PLATFORM_UNREADABLE);
     }
 }
