--- a/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
+++ b/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
@@ -8,6 +8,7 @@
 import io.bilberrylane.peer.HeaderField;
 import io.bilberrylane.peer.PeerCodec;
 import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.policy.CallNeed;
 import io.bilberrylane.policy.Candidate;
 import io.bilberrylane.policy.GateAdmission;
 import io.bilberrylane.policy.LoadTable;
@@ -29,6 +30,8 @@
     private static final double REST_SECONDS = 20;
     private static final long SEED = 1;
 
+    private static final long END = Long.MAX_VALUE / 2;
+
     private final List<Slope> mSlopes = new ArrayList<>();
 
     private SlopeMeasurement() {}
@@ -98,7 +101,7 @@
                         i -> {
                             final String id = "host-1-m8r2x1-" + i;
                             calls.reserve(id, i);
-                            admission.offer(new Ticket(id, 0, Long.MAX_VALUE), i);
+                            admission.offer(new Ticket(id, 0, 0, END, END, END, false), i);
                             calls.start(id, i);
                             calls.finish(id, i);
                             admission.release(id, true, 3_000_000, i);
@@ -112,13 +115,13 @@
             final List<Candidate> candidates = new ArrayList<>();
             for (int i = 0; i < targets; i++) {
                 candidates.add(new Candidate("host-" + i, "dc-" + i % 26, 6));
-                loads.told("host-" + i, new TargetLoad(i % 6, 0, 6, 3_000, true), 0);
+                loads.told("host-" + i, TargetLoad.of(i % 6, 0, 6, 3_000, true), 0);
             }
             final TargetSelector selector = TargetSelector.of("dc-0", loads, new Random(SEED));
             add(
                     "choice of a target",
                     targets,
-                    microsEach(i -> selector.choose(candidates, Set.of(), i)),
+                    microsEach(i -> selector.choose(candidates, Set.of(), CallNeed.NONE, i)),
                     "us");
         }
     }
@@ -142,6 +145,8 @@
                         0,
                         "",
                         0,
+                        1_000,
+                        1,
                         1_000);
         final PeerMessage open = new PeerMessage.Open(1, head);
         add(
--- a/src/main/java/io/bilberrylane/catalogue/Route.java
+++ b/src/main/java/io/bilberrylane/catalogue/Route.java
@@ -42,6 +42,15 @@
         }
     }
 
+    /**
+     * Returns a number that tells the route from others.
+     *
+     * @return a hash of its host and prefix
+     */
+    public int id() {
+        return (host + pathPrefix).hashCode();
+    }
+
     /**
      * Returns the service for one call.
      *
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -184,7 +184,9 @@
                 bodyBytes,
                 names.callersNameRequests() ? mRequest.headers().get(names.requestId(), "") : "",
                 route.priority(),
-                route.objectiveMillis());
+                route.objectiveMillis(),
+                route.id(),
+                timeoutMillis);
     }
 
     private List<HeaderField> headers() {
@@ -210,6 +212,8 @@
                 bodyBytes,
                 "",
                 0,
+                0,
+                0,
                 0);
     }
 
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -9,6 +9,7 @@
 import io.bilberrylane.catalogue.ServiceEntry;
 import io.bilberrylane.catalogue.TargetFacts;
 import io.bilberrylane.http.HeaderNames;
+import io.bilberrylane.http.LoadHeader;
 import io.bilberrylane.http.TargetAddress;
 import io.bilberrylane.http.TargetPool;
 import io.bilberrylane.membership.TargetAnnouncement;
@@ -27,6 +28,7 @@
 import io.bilberrylane.policy.Settled;
 import io.bilberrylane.policy.TargetLoad;
 import io.bilberrylane.policy.Ticket;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.Collections;
 import java.util.HashMap;
@@ -44,6 +46,11 @@
     private static final long OUTCOME_RETENTION_SECONDS = 60;
     private static final int SPARE_CONNECTIONS = 2;
     private static final int WARM_CONNECTIONS = 1;
+
+    /** A call with less time left is refused rather than begun. */
+    private static final long LAST_START_MILLIS = 15;
+
+    private static final long MIN_LOOK_NANOS = 2_000_000L;
     private static final int REMEMBERED_DEPARTURES = 64;
 
     private final Transport mTransport;
@@ -135,7 +142,9 @@
         if (announcement.draining() || mLeaving) {
             admission.stop();
         }
-        mTarget = new GateTarget(announcement, admission, pool, false);
+        final TargetQuestions questions =
+                new TargetQuestions(this, mTransport, announcement.id(), admission, pool);
+        mTarget = new GateTarget(announcement, admission, pool, questions, false);
         LOGGER.atInfo().log(
                 "target announced: service %s at %s with %d slots",
                 announcement.service(), address, announcement.slots());
@@ -174,7 +183,12 @@
             mAdmissionLock.run(known.admission()::turnCold);
         }
         mTarget =
-                new GateTarget(announcement, known.admission(), known.pool(), known.hasDeparted());
+                new GateTarget(
+                        announcement,
+                        known.admission(),
+                        known.pool(),
+                        known.questions(),
+                        known.hasDeparted());
         if (changed && announcement.draining()) {
             stopAdmission(known);
         } else if (changed && !mLeaving && !known.hasDeparted()) {
@@ -291,6 +305,10 @@
         return mOutcomeLock.get(() -> mCalls.settle(callId, System.nanoTime()));
     }
 
+    RankedLock admissionLock() {
+        return mAdmissionLock;
+    }
+
     HeaderNames names() {
         return mSettings.profile().names();
     }
@@ -359,26 +377,51 @@
         final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
         final TargetFacts facts = entry.map(ServiceEntry::targets).orElse(TargetFacts.NONE);
         final long now = System.nanoTime();
-        final long waitMillis = Math.min(limits.queueMillis(), call.head().timeoutMillis());
+        final long waitMillis = waitMillis(call.head(), limits);
         final Ticket ticket =
                 new Ticket(
                         call.head().callId(),
                         call.head().priority(),
-                        now + TimeUnit.MILLISECONDS.toNanos(waitMillis));
-        return mAdmissionLock.get(
-                () -> {
-                    target.admission().boundRates(mSettings.bounds(), facts.coldPerSecond());
-                    final AdmissionDecision decision = target.admission().offer(ticket, now);
-                    if (decision instanceof AdmissionDecision.Queued) {
-                        mWaiting.put(ticket.callId(), call);
-                        call.eventLoop()
-                                .schedule(
-                                        () -> settle(target),
-                                        waitMillis + 1,
-                                        TimeUnit.MILLISECONDS);
-                    }
-                    return decision;
-                });
+                        call.head().route(),
+                        now + TimeUnit.MILLISECONDS.toNanos(waitMillis),
+                        now + TimeUnit.MILLISECONDS.toNanos(call.head().objectiveMillis()),
+                        now + TimeUnit.MILLISECONDS.toNanos(call.head().timeoutMillis()),
+                        call.head().patienceMillis() >= call.head().timeoutMillis());
+        final AdmissionDecision decision =
+                mAdmissionLock.get(
+                        () -> {
+                            final GateAdmission admission = target.admission();
+                            admission.boundRates(mSettings.bounds(), facts.coldPerSecond());
+                            admission.askSpeed(!facts.healthPath().isEmpty());
+                            final AdmissionDecision made = admission.offer(ticket, now);
+                            if (made instanceof AdmissionDecision.Queued) {
+                                mWaiting.put(ticket.callId(), call);
+                            }
+                            return made;
+                        });
+        if (decision instanceof AdmissionDecision.Queued) {
+            lookAgain(target, facts);
+        }
+        return decision;
+    }
+
+    /** Asks the target's speed if that is all that waiting calls need, else looks again later. */
+    private void lookAgain(final GateTarget target, final TargetFacts facts) {
+        final long now = System.nanoTime();
+        final boolean ask = mAdmissionLock.get(() -> target.admission().needsSpeed(now));
+        if (ask) {
+            target.questions().ask(facts.healthPath(), () -> settle(target));
+            return;
+        }
+        final long pause = mAdmissionLock.get(() -> target.admission().nextLookNanos(now));
+        if (pause != Long.MAX_VALUE) {
+            mTransport
+                    .currentOrAnyLoop()
+                    .schedule(
+                            () -> settle(target),
+                            Math.max(MIN_LOOK_NANOS, pause),
+                            TimeUnit.NANOSECONDS);
+        }
     }
 
     void release(
@@ -394,8 +437,38 @@
                 call);
     }
 
+    private long waitMillis(final CallHead head, final Limits limits) {
+        final long most = Math.min(head.patienceMillis(), head.timeoutMillis() - LAST_START_MILLIS);
+        return names().callersNameRequests() ? most : Math.min(limits.queueMillis(), most);
+    }
+
     private void settle(final GateTarget target) {
         apply(target, admission -> admission.settle(System.nanoTime()), null);
+        lookAgain(target, facts(target.announcement().service()));
+    }
+
+    /** Takes note of the load that the target tells in an answer. */
+    void noteLoad(final GateTarget target, final HttpHeaders headers) {
+        noteSpeed(target.admission(), headers);
+    }
+
+    /** Takes note of what the target tells when it is asked. */
+    void noteHealth(final GateAdmission admission, final HttpHeaders headers) {
+        noteSpeed(admission, headers);
+        final Integer coldMillis = headers.getInt(names().coldMillis());
+        if (coldMillis != null) {
+            mAdmissionLock.run(() -> admission.coldFor(coldMillis, System.nanoTime()));
+        }
+    }
+
+    private void noteSpeed(final GateAdmission admission, final HttpHeaders headers) {
+        LoadHeader.of(headers.get(names().load()))
+                .ifPresent(
+                        told ->
+                                mAdmissionLock.run(
+                                        () ->
+                                                admission.noteSpeed(
+                                                        told.speedPercent(), System.nanoTime())));
     }
 
     private void apply(
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.Headers;
@@ -15,6 +16,7 @@
 import io.bilberrylane.peer.HeaderField;
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.policy.AdmissionDecision;
+import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -70,6 +72,9 @@
     private boolean mBodyEnded;
     private boolean mCallerGone;
     private int mStatus;
+    private TargetLoad mLoadAtStart = TargetLoad.ABSENT;
+    private final long mOpenedNanos = System.nanoTime();
+    private String mLoadHeader = "";
 
     GateCall(final Gate gate, final EventLoop loop, final CallHead head, final AnswerSink sink) {
         mGate = gate;
@@ -265,6 +270,7 @@
         mState = State.STARTED;
         mConnection = connection;
         mStartedNanos = System.nanoTime();
+        mLoadAtStart = mGate.load();
         mDeadline =
                 mLoop.schedule(
                         this::onDeadline, mDeadlineNanos - mStartedNanos, TimeUnit.NANOSECONDS);
@@ -383,6 +389,8 @@
     private void onAnswerHead(final HttpResponse response) {
         final HeaderNames names = mGate.names();
         mStatus = response.status().code();
+        mLoadHeader = response.headers().get(names.load(), "");
+        mGate.noteLoad(mTarget, response.headers());
         final Optional<String> defect = defect(names, response);
         if (defect.isPresent()) {
             LOGGER.atWarning().log("answer to call %s refused: %s", requestId(), defect.get());
@@ -448,6 +456,7 @@
                         return;
                     }
                     over();
+                    logRun("answered");
                     mGate.markFinished(mHead.callId());
                     mKey.ifPresent(KeyedRun::finish);
                     giveSlotBack(mStatus < 500, System.nanoTime() - mStartedNanos);
@@ -465,6 +474,7 @@
                         return;
                     }
                     over();
+                    logRun("broken:" + cause);
                     mKey.ifPresent(KeyedRun::breakOff);
                     giveSlotBack(false, System.nanoTime() - mStartedNanos);
                     if (!mCallerGone) {
@@ -491,8 +501,25 @@
 
     // -- end
 
+    private void logRun(final String outcome) {
+        DecisionLog.event("run-ended")
+                .with("request", requestId())
+                .with("priority", mHead.priority())
+                .with("inFlight", mLoadAtStart.inFlight())
+                .with("allowance", mLoadAtStart.allowance())
+                .with("queued", mLoadAtStart.queued())
+                .with("speedPercent", mLoadAtStart.speedPercent())
+                .with("waitedMicros", (mStartedNanos - mOpenedNanos) / 1_000)
+                .with("serviceMicros", (System.nanoTime() - mStartedNanos) / 1_000)
+                .with("loadAtEnd", mLoadHeader)
+                .with("status", mStatus)
+                .with("outcome", outcome)
+                .write();
+    }
+
     private void stop(final boolean healthy) {
         over();
+        logRun(mCallerGone ? "caller-left" : "given-up");
         mKey.ifPresent(KeyedRun::breakOff);
         mConnection.abort();
         giveSlotBack(healthy, healthy ? -1 : System.nanoTime() - mStartedNanos);
--- a/src/main/java/io/bilberrylane/node/GateTarget.java
+++ b/src/main/java/io/bilberrylane/node/GateTarget.java
@@ -11,12 +11,14 @@
  * @param announcement the newest announcement
  * @param admission which calls are in service
  * @param pool its connections
+ * @param questions asks it for its speed
  * @param hasDeparted whether it has said that it leaves for good
  */
 record GateTarget(
         TargetAnnouncement announcement,
         GateAdmission admission,
         TargetPool pool,
+        TargetQuestions questions,
         boolean hasDeparted) {
     GateTarget {
         Objects.requireNonNull(announcement, "announcement is null");
@@ -25,6 +27,6 @@
     }
 
     GateTarget departed() {
-        return new GateTarget(announcement, admission, pool, true);
+        return new GateTarget(announcement, admission, pool, questions, true);
     }
 }
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.Route;
 import io.bilberrylane.outcome.CallPhase;
@@ -9,13 +10,13 @@
 import io.bilberrylane.peer.BodySink;
 import io.bilberrylane.peer.CallHead;
 import io.bilberrylane.peer.Refusal;
+import io.bilberrylane.policy.CallNeed;
+import io.bilberrylane.policy.CallPlan;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -24,21 +25,27 @@
  */
 final class RoutedCall implements BodySink {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int MAX_OVERLOAD_ATTEMPTS = 2;
-    private static final long DEADLINE_GRACE_MILLIS = 250;
-    private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final long DEADLINE_GRACE_MILLIS = 10;
+    private static final long PAUSE_MILLIS = 20;
+    private static final int MAX_TRAIL_CHARS = 400;
+
+    /** A caller is asked to come back after this part of its time. */
+    private static final long RETRY_AFTER_PART = 10;
+
+    /** A longer body does not leave the data centre while a target there admits calls. */
+    private static final long NEAR_BODY_BYTES = 16 * 1024;
 
     private final Router mRouter;
     private final Route mRoute;
     private final CallHead mHead;
     private final EventExecutor mExecutor;
     private final AnswerSink mSink;
-    private final long mDeadlineNanos;
-    private final Set<String> mTried = new HashSet<>();
+    private final long mStartNanos = System.nanoTime();
+    private final CallNeed mNeed;
+    private final CallPlan mPlan;
+    private final StringBuilder mTrail = new StringBuilder();
     private Attempt mAttempt;
     private ScheduledFuture<?> mDeadline;
-    private int mAttempts;
-    private int mOverloads;
     private boolean mBodySent;
     private boolean mHeadSeen;
     private boolean mMayHaveRun;
@@ -56,7 +63,11 @@
         mHead = head;
         mExecutor = executor;
         mSink = sink;
-        mDeadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis());
+        mNeed =
+                new CallNeed(
+                        head.objectiveMillis() * 1_000.0,
+                        head.bodyBytes() < 0 || head.bodyBytes() > NEAR_BODY_BYTES);
+        mPlan = CallPlan.of(head.timeoutMillis(), head.objectiveMillis(), route.attempts());
     }
 
     // -- attempts
@@ -72,22 +83,21 @@
     }
 
     private void attempt(final Refusal otherwise) {
-        final long remainingMillis =
-                TimeUnit.NANOSECONDS.toMillis(mDeadlineNanos - System.nanoTime());
+        final long elapsedMillis = elapsedMillis();
+        final long remainingMillis = mHead.timeoutMillis() - elapsedMillis;
         if (remainingMillis <= 0) {
             refuse(Refusal.of(ErrorCode.DEADLINE_EXCEEDED));
             return;
         }
         final Optional<TargetRef> target =
-                otherwise.holder().isEmpty()
-                        ? mRouter.choose(mRoute, mHead.service(), mTried)
-                        : mRouter.holder(otherwise.holder());
+                otherwise.holder().isEmpty() ? choose() : mRouter.holder(otherwise.holder());
         if (target.isEmpty()) {
-            refuse(otherwise);
+            refuseOrPause(otherwise);
             return;
         }
-        mTried.add(target.get().candidate().host());
-        mAttempts++;
+        final long patienceMillis = mPlan.patienceMillis(elapsedMillis);
+        mPlan.offered(patienceMillis, elapsedMillis);
+        trail(target.get().candidate().host() + "+" + patienceMillis);
         final String callId = mRouter.nextCallId();
         final Attempt next = new Attempt(target.get(), callId);
         mAttempt = next;
@@ -97,11 +107,54 @@
                                 mHead.forAttempt(
                                         callId,
                                         remainingMillis,
-                                        mAttempts,
-                                        mHead.timeoutMillis() - remainingMillis),
+                                        mPlan.runs() + 1,
+                                        elapsedMillis,
+                                        patienceMillis),
                                 next);
     }
 
+    private Optional<TargetRef> choose() {
+        if (!mPlan.mayOffer()) {
+            return Optional.empty();
+        }
+        final Optional<TargetRef> target =
+                mRouter.choose(mRoute, mHead.service(), mPlan.excluded(), mNeed);
+        if (target.isPresent() || !mPlan.nextRound()) {
+            return target;
+        }
+        return mRouter.choose(mRoute, mHead.service(), mPlan.excluded(), mNeed);
+    }
+
+    /** Tries again soon while no gate is there to be asked, until the objective is past. */
+    private void refuseOrPause(final Refusal refusal) {
+        if (mPlan.mayOffer() && elapsedMillis() + PAUSE_MILLIS < mHead.objectiveMillis() / 2) {
+            mExecutor.schedule(
+                    () -> {
+                        if (!mOver) {
+                            attempt(refusal);
+                        }
+                    },
+                    PAUSE_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            return;
+        }
+        refuse(refusal);
+    }
+
+    /** Adds a step to what the log line tells of the call, while it is short. */
+    private void trail(final String step) {
+        if (mTrail.length() < MAX_TRAIL_CHARS) {
+            mTrail.append(mTrail.isEmpty() ? "" : " ")
+                    .append(step)
+                    .append('@')
+                    .append(elapsedMillis());
+        }
+    }
+
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+    }
+
     /** Ends the call without a run; an earlier attempt that may have run makes that untrue. */
     private void refuse(final Refusal refusal) {
         final boolean earlierSendingMayHaveRun = mHead.isKeyed() && !mKeyCertain;
@@ -110,24 +163,36 @@
             fail(held ? ErrorCode.KEY_OUTCOME_UNKNOWN : refusal.code(), CallPhase.STARTED);
             return;
         }
-        if (over()) {
-            final long retryAfter = Math.max(refusal.retryAfterMillis(), RETRY_AFTER_MILLIS);
+        if (over("refused:" + refusal.code().wireName())) {
+            final long retryAfter =
+                    Math.max(refusal.retryAfterMillis(), mHead.timeoutMillis() / RETRY_AFTER_PART);
             mSink.onRefused(
                     new Refusal(refusal.code(), retryAfter, refusal.holder()), TargetLoad.ABSENT);
         }
     }
 
     private void fail(final ErrorCode code, final CallPhase phase) {
-        if (over()) {
+        if (over("failed:" + code.wireName())) {
             mSink.onFailed(code, phase);
         }
     }
 
-    private boolean over() {
+    private boolean over(final String outcome) {
         if (mOver) {
             return false;
         }
         mOver = true;
+        DecisionLog.event("call-ended")
+                .with("request", mHead.requestId())
+                .with("service", mHead.service())
+                .with("route", mRoute.host() + mRoute.pathPrefix())
+                .with("outcome", outcome)
+                .with("elapsedMillis", elapsedMillis())
+                .with("timeoutMillis", mHead.timeoutMillis())
+                .with("offers", mPlan.offers())
+                .with("runs", mPlan.runs())
+                .with("trail", mTrail.toString())
+                .write();
         mDeadline.cancel(false);
         mRouter.callEnded();
         return true;
@@ -138,6 +203,10 @@
             return;
         }
         final Attempt attempt = mAttempt;
+        if (attempt == null || attempt.mClosed) {
+            refuse(Refusal.of(ErrorCode.DEADLINE_EXCEEDED));
+            return;
+        }
         attempt.close();
         attempt.mBody.cancel();
         fail(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
@@ -164,7 +233,7 @@
 
     @Override
     public void cancel() {
-        if (over() && mAttempt != null) {
+        if (over("caller-left") && mAttempt != null) {
             mAttempt.close();
             mAttempt.mBody.cancel();
         }
@@ -235,7 +304,7 @@
             inOrder(
                     () -> {
                         if (close()) {
-                            afterRefusal(refusal);
+                            afterRefusal(this, refusal);
                         }
                     });
         }
@@ -278,9 +347,10 @@
                         if (!close()) {
                             return;
                         }
+                        mPlan.seen(mTarget.candidate().host());
                         if (mSwallowing) {
                             attempt(Refusal.of(ErrorCode.TARGET_REFUSED));
-                        } else if (over()) {
+                        } else if (over("answered")) {
                             mSink.onEnd(load);
                         }
                     });
@@ -315,16 +385,16 @@
                 && !mOver
                 && !mBodySent
                 && !mHead.isKeyed()
-                && mAttempts < mRoute.attempts();
+                && mPlan.runs() + 1 < mRoute.attempts();
     }
 
-    private void afterRefusal(final Refusal refusal) {
+    private void afterRefusal(final Attempt attempt, final Refusal refusal) {
         if (mOver) {
             return;
         }
-        if (refusal.code() == ErrorCode.OVERLOADED || refusal.code() == ErrorCode.QUEUE_TIMEOUT) {
-            mOverloads++;
-        }
+        final String host = attempt.mTarget.candidate().host();
+        mPlan.refused(host);
+        trail(refusal.code().wireName());
         mKeyCertain =
                 switch (refusal.code()) {
                     case CLAIM_UNAVAILABLE, CLAIM_HELD, CANCELLED, KEY_IN_PROGRESS -> false;
@@ -332,12 +402,17 @@
                 };
         final boolean mayHelp =
                 switch (refusal.code()) {
-                    case CLAIM_HELD -> !mTried.contains(refusal.holder());
-                    case LEAVING, NO_TARGET, TARGET_UNREACHABLE, CANCELLED -> true;
-                    case OVERLOADED, QUEUE_TIMEOUT -> mOverloads < MAX_OVERLOAD_ATTEMPTS;
+                    case CLAIM_HELD -> !refusal.holder().equals(host);
+                    case LEAVING,
+                            NO_TARGET,
+                            TARGET_UNREACHABLE,
+                            CANCELLED,
+                            OVERLOADED,
+                            QUEUE_TIMEOUT ->
+                            true;
                     default -> false;
                 };
-        if (mayHelp && mAttempts < mRoute.attempts() && !mBodySent) {
+        if (mayHelp && !mBodySent) {
             attempt(refusal);
         } else {
             refuse(refusal);
@@ -351,9 +426,15 @@
         if (code == ErrorCode.LINK_LOST) {
             mRouter.told(attempt.mTarget, TargetLoad.ABSENT);
         }
+        trail(code.wireName() + "/" + phase);
+        if (phase.isNotRun()) {
+            mPlan.refused(attempt.mTarget.candidate().host());
+        } else {
+            mPlan.seen(attempt.mTarget.candidate().host());
+        }
         final boolean isResolvable = code == ErrorCode.LINK_LOST && !mHead.idempotent();
         mMayHaveRun |= !phase.isNotRun() && !isResolvable;
-        final boolean unheard = !mBodySent && !mHeadSeen && mAttempts < mRoute.attempts();
+        final boolean unheard = !mBodySent && !mHeadSeen && mPlan.mayRunAgain();
         if (unheard && (mHead.idempotent() || phase.isNotRun())) {
             attempt(Refusal.of(code));
         } else if (isResolvable && !phase.isNotRun() && !mHeadSeen) {
@@ -377,7 +458,7 @@
             return;
         }
         mMayHaveRun |= !phase.isNotRun();
-        if (phase.isNotRun() && !mBodySent && mAttempts < mRoute.attempts()) {
+        if (phase.isNotRun() && !mBodySent && mPlan.mayRunAgain()) {
             attempt(Refusal.of(ErrorCode.LINK_LOST));
         } else {
             fail(ErrorCode.LINK_LOST, phase);
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -14,6 +14,7 @@
 import io.bilberrylane.peer.Identity;
 import io.bilberrylane.peer.PeerLinks;
 import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.policy.CallNeed;
 import io.bilberrylane.policy.Candidate;
 import io.bilberrylane.policy.LoadTable;
 import io.bilberrylane.policy.TargetLoad;
@@ -89,7 +90,10 @@
     // -- choice
 
     Optional<TargetRef> choose(
-            final Route route, final String service, final Collection<String> excluded) {
+            final Route route,
+            final String service,
+            final Collection<String> excluded,
+            final CallNeed need) {
         final Catalogue catalogue = mConfiguration.catalogue();
         final List<TargetRef> targets = mMembership.targets(service);
         final List<Candidate> candidates = new ArrayList<>(targets.size());
@@ -104,7 +108,7 @@
                 mLock.get(
                         () -> {
                             final Optional<Candidate> choice =
-                                    mSelector.choose(candidates, excluded, System.nanoTime());
+                                    mSelector.choose(candidates, excluded, need, System.nanoTime());
                             choice.ifPresent(candidate -> mLoads.sent(candidate.host()));
                             return choice;
                         });
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/TargetQuestions.java
@@ -0,0 +1,159 @@
+package io.bilberrylane.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.http.HeaderNames;
+import io.bilberrylane.http.TargetConnection;
+import io.bilberrylane.http.TargetListener;
+import io.bilberrylane.http.TargetPool;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.policy.GateAdmission;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Asks a target for its speed and coldness, one question at a time. All state belongs to one event
+ * loop.
+ */
+final class TargetQuestions {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long TIMEOUT_MILLIS = 150;
+
+    /** Keeps the questions below half of what a target may get. */
+    private static final long MIN_PAUSE_NANOS = 20_000_000L;
+
+    private static final long TRUSTED_IDLE_NANOS = 2_000_000_000L;
+
+    private final Gate mGate;
+    private final EventLoop mLoop;
+    private final String mTargetId;
+    private final GateAdmission mAdmission;
+    private final TargetPool mPool;
+    private boolean mAsking;
+    private long mAskedNanos;
+    private long mCount;
+
+    TargetQuestions(
+            final Gate gate,
+            final Transport transport,
+            final String targetId,
+            final GateAdmission admission,
+            final TargetPool pool) {
+        mGate = gate;
+        mLoop = transport.currentOrAnyLoop();
+        mTargetId = targetId;
+        mAdmission = admission;
+        mPool = pool;
+    }
+
+    /** Asks, unless a question is under way; the action runs after the answer, or without one. */
+    void ask(final String path, final Runnable afterwards) {
+        mLoop.execute(() -> askNow(path, afterwards));
+    }
+
+    private void askNow(final String path, final Runnable afterwards) {
+        if (mAsking) {
+            return;
+        }
+        mAsking = true;
+        final long pause = mAskedNanos + MIN_PAUSE_NANOS - System.nanoTime();
+        if (mCount > 0 && pause > 0) {
+            mLoop.schedule(() -> send(path, afterwards), pause, TimeUnit.NANOSECONDS);
+        } else {
+            send(path, afterwards);
+        }
+    }
+
+    private void send(final String path, final Runnable afterwards) {
+        mAskedNanos = System.nanoTime();
+        mCount++;
+        final Answer answer = new Answer(afterwards);
+        mPool.acquire(
+                mLoop,
+                TRUSTED_IDLE_NANOS,
+                connection -> answer.begin(connection, path),
+                cause -> answer.end(false));
+    }
+
+    /** Receives the answer to one question. */
+    private final class Answer implements TargetListener {
+        private final Runnable mAfterwards;
+        private TargetConnection mConnection;
+        private ScheduledFuture<?> mTimeout;
+        private boolean mOver;
+
+        private Answer(final Runnable afterwards) {
+            mAfterwards = afterwards;
+        }
+
+        private void begin(final TargetConnection connection, final String path) {
+            mConnection = connection;
+            mTimeout = mLoop.schedule(this::onTimeout, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            final HttpRequest request =
+                    new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+            request.headers().set(HttpHeaderNames.HOST, "health");
+            connection.send(request, true, this);
+        }
+
+        private void onTimeout() {
+            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "target %s did not tell its speed in %d ms", mTargetId, TIMEOUT_MILLIS);
+            mConnection.abort();
+            end(false);
+        }
+
+        private void end(final boolean told) {
+            if (mOver) {
+                return;
+            }
+            mOver = true;
+            mAsking = false;
+            if (mTimeout != null) {
+                mTimeout.cancel(false);
+            }
+            if (!told) {
+                mGate.admissionLock().run(() -> mAdmission.speedUnknown(System.nanoTime()));
+            }
+            mAfterwards.run();
+        }
+
+        @Override
+        public void onResponse(final HttpResponse response) {
+            final HeaderNames names = mGate.names();
+            final String id = response.headers().get(names.targetIdOfAnswer());
+            if (id != null && !mTargetId.isEmpty() && !id.equals(mTargetId)) {
+                LOGGER.atInfo().log("target %s was replaced by %s", mTargetId, id);
+                return;
+            }
+            mGate.noteHealth(mAdmission, response.headers());
+        }
+
+        @Override
+        public void onContent(final ByteBuf bytes) {
+            bytes.release();
+            mConnection.read();
+        }
+
+        @Override
+        public void onComplete() {
+            end(true);
+        }
+
+        @Override
+        public void onBroken(final Throwable cause) {
+            end(false);
+        }
+
+        @Override
+        public void onWritten(final int bytes) {
+            // A question has no body.
+        }
+    }
+}
--- a/src/main/java/io/bilberrylane/peer/CallHead.java
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -19,6 +19,9 @@
  * @param requestId the identity that the target repeats in its answer
  * @param priority the place in queues; 0 goes first
  * @param objectiveMillis time that remains until an answer is late, in milliseconds
+ * @param route calls of one route take about the same work
+ * @param patienceMillis how long the call may wait at this gate, in milliseconds; all of its time
+ *     when it has nowhere else to go
  */
 public record CallHead(
         String callId,
@@ -33,7 +36,9 @@
         long bodyBytes,
         String requestId,
         int priority,
-        long objectiveMillis) {
+        long objectiveMillis,
+        int route,
+        long patienceMillis) {
     /** Checks the parts and copies the headers. */
     public CallHead {
         Objects.requireNonNull(callId, "callId is null");
@@ -70,13 +75,15 @@
      * @param remainingMillis time that remains until the deadline, in milliseconds
      * @param newAttempt the number of the attempt
      * @param elapsedMillis time since the call came, in milliseconds
+     * @param newPatienceMillis how long it may wait at the gate, in milliseconds
      * @return a changed copy
      */
     public CallHead forAttempt(
             final String newCallId,
             final long remainingMillis,
             final int newAttempt,
-            final long elapsedMillis) {
+            final long elapsedMillis,
+            final long newPatienceMillis) {
         return new CallHead(
                 newCallId,
                 service,
@@ -90,6 +97,8 @@
                 bodyBytes,
                 requestId,
                 priority,
-                objectiveMillis - elapsedMillis);
+                objectiveMillis - elapsedMillis,
+                route,
+                newPatienceMillis);
     }
 }
--- a/src/main/java/io/bilberrylane/peer/PeerCodec.java
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -80,7 +80,7 @@
     }
 
     private static byte[] encodeOpen(final int streamId, final CallHead head) {
-        return FieldWriter.of(MessageType.OPEN, 14)
+        return FieldWriter.of(MessageType.OPEN, 16)
                 .integer(1, streamId)
                 .text(2, head.callId())
                 .text(3, head.service())
@@ -95,6 +95,8 @@
                 .text(12, head.requestId())
                 .integer(13, head.priority())
                 .integer(14, head.objectiveMillis())
+                .integer(15, head.route())
+                .integer(16, head.patienceMillis())
                 .toBytes();
     }
 
@@ -250,6 +252,8 @@
                 fields.integer(11),
                 fields.text(12),
                 fields.smallInteger(13),
-                fields.integer(14));
+                fields.integer(14),
+                fields.smallInteger(15),
+                fields.integer(16));
     }
 }
--- a/src/main/java/io/bilberrylane/peer/ValueFormats.java
+++ b/src/main/java/io/bilberrylane/peer/ValueFormats.java
@@ -28,12 +28,14 @@
 
     static void writeLoad(final TargetLoad load, final MessageBufferPacker packer)
             throws IOException {
-        packer.packArrayHeader(5)
+        packer.packArrayHeader(7)
                 .packInt(load.inFlight())
                 .packInt(load.queued())
                 .packInt(load.allowance())
                 .packLong(load.serviceMicros())
-                .packBoolean(load.accepting());
+                .packBoolean(load.accepting())
+                .packInt(load.speedPercent())
+                .packInt(load.failurePercent());
     }
 
     static TargetLoad readLoad(final Value value) {
@@ -43,7 +45,9 @@
                 integer(parts, 1),
                 integer(parts, 2),
                 parts.get(3).asIntegerValue().toLong(),
-                parts.get(4).asBooleanValue().getBoolean());
+                parts.get(4).asBooleanValue().getBoolean(),
+                integer(parts, 5),
+                integer(parts, 6));
     }
 
     // -- header fields
--- /dev/null
+++ b/src/main/java/io/bilberrylane/policy/CallPlan.java
@@ -0,0 +1,153 @@
+package io.bilberrylane.policy;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * How one call goes from gate to gate. A gate that refuses costs nothing but time, so that each
+ * gate is asked in turn with more patience each round; a target that has seen the call is never
+ * asked again. Not thread-safe.
+ */
+public final class CallPlan {
+    private static final long FIRST_PATIENCE_MILLIS = 12;
+    private static final long LATER_PATIENCE_MILLIS = 40;
+    private static final int MAX_OFFERS = 40;
+
+    private final long mTimeoutMillis;
+    private final long mObjectiveMillis;
+    private final int mMaxRuns;
+    private final Set<String> mSeen = new HashSet<>();
+    private final Set<String> mRefusedInRound = new HashSet<>();
+    private int mRound;
+    private int mOffers;
+    private int mRuns;
+    private boolean mLastResortSpent;
+
+    private CallPlan(final long timeoutMillis, final long objectiveMillis, final int maxRuns) {
+        mTimeoutMillis = timeoutMillis;
+        mObjectiveMillis = objectiveMillis;
+        mMaxRuns = maxRuns;
+    }
+
+    /**
+     * Returns the plan of a call that was offered to no gate yet.
+     *
+     * @param timeoutMillis the longest time until its final answer, in milliseconds
+     * @param objectiveMillis the time within which an answer is of full use, in milliseconds
+     * @param maxRuns the most targets that may see it
+     * @return the plan
+     */
+    public static CallPlan of(
+            final long timeoutMillis, final long objectiveMillis, final int maxRuns) {
+        return new CallPlan(timeoutMillis, objectiveMillis, maxRuns);
+    }
+
+    // -- queries
+
+    /**
+     * Returns the hosts that are not to be asked now.
+     *
+     * @return hosts whose targets have seen the call, or whose gates have refused it in this round
+     */
+    public Set<String> excluded() {
+        final Set<String> hosts = new HashSet<>(mSeen);
+        hosts.addAll(mRefusedInRound);
+        return hosts;
+    }
+
+    /**
+     * Returns whether the call may be offered to a gate.
+     *
+     * @return false once it has been offered often enough
+     */
+    public boolean mayOffer() {
+        return mOffers < MAX_OFFERS && mRuns < mMaxRuns && !mLastResortSpent;
+    }
+
+    /**
+     * Returns whether another target may see the call.
+     *
+     * @return false once as many have as the route allows
+     */
+    public boolean mayRunAgain() {
+        return mRuns < mMaxRuns;
+    }
+
+    /**
+     * Returns how many targets have seen the call.
+     *
+     * @return a count
+     */
+    public int runs() {
+        return mRuns;
+    }
+
+    /**
+     * Returns how often the call was offered to a gate.
+     *
+     * @return a count
+     */
+    public int offers() {
+        return mOffers;
+    }
+
+    /**
+     * Returns how long the next gate may let the call wait.
+     *
+     * @param elapsedMillis time since the call came, in milliseconds
+     * @return milliseconds; all the time that is left when the objective is past
+     */
+    public long patienceMillis(final long elapsedMillis) {
+        final long leftMillis = mTimeoutMillis - elapsedMillis;
+        if (elapsedMillis >= mObjectiveMillis || mOffers >= MAX_OFFERS - 1) {
+            return leftMillis;
+        }
+        final long patience = mRound == 0 ? FIRST_PATIENCE_MILLIS : LATER_PATIENCE_MILLIS;
+        return Math.min(leftMillis, patience);
+    }
+
+    // -- events
+
+    /**
+     * The call is offered to a gate.
+     *
+     * @param patienceMillis how long it may wait there, in milliseconds
+     * @param elapsedMillis time since the call came, in milliseconds
+     */
+    public void offered(final long patienceMillis, final long elapsedMillis) {
+        mOffers++;
+        mLastResortSpent = patienceMillis >= mTimeoutMillis - elapsedMillis;
+    }
+
+    /**
+     * A gate has refused the call; its target has not seen it.
+     *
+     * @param host the gate's host
+     */
+    public void refused(final String host) {
+        mRefusedInRound.add(host);
+    }
+
+    /**
+     * A target has seen the call.
+     *
+     * @param host the target's host
+     */
+    public void seen(final String host) {
+        mRuns++;
+        mLastResortSpent = false;
+        mSeen.add(host);
+    }
+
+    /**
+     * No gate is left in this round.
+     *
+     * @return whether any gate has refused in it, so that another round makes sense
+     */
+    public boolean nextRound() {
+        mRound++;
+        final boolean any = !mRefusedInRound.isEmpty();
+        mRefusedInRound.clear();
+        return any;
+    }
+}
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -2,46 +2,47 @@
 
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * Decides which calls are in service at one target.
  *
- * <p>The count in service is exact, since the gate is the only way to its target. Waiting calls are
- * served by class; within a class the oldest goes first, or the newest while the queue is long. Not
- * thread-safe.
+ * <p>The count in service is exact, since the gate is the only way to its target. A call that
+ * cannot end within its objective waits, for the queue time that it brings, until the target is
+ * faster or less crowded. Waiting calls that can still end within their objective go first, by
+ * rank, then by the time that is left. Not thread-safe.
  */
 public final class GateAdmission {
-    private static final double SERVICE_WEIGHT = 0.1;
+    private static final double FAILURE_WEIGHT = 0.1;
 
     /** What a failure counts for at least, so that failing fast attracts no calls. */
     private static final long FAILURE_COST_NANOS = 50_000_000L;
 
-    /** A queue longer than this many times the allowance serves its newest call first. */
-    private static final int OVERLOAD_FACTOR = 2;
-
     /** A queue never holds more than this many times the slots. */
     private static final int QUEUE_FACTOR = 8;
 
-    /** Calls in a second that are kept free, since a call reaches its target a little later. */
+    /** Requests in a second that are kept free, since one reaches its target a little later. */
     private static final double RATE_MARGIN = 1;
 
+    /** A call with less time than this part of the usual work is not begun any more. */
+    private static final double HOPELESS_PART = 0.6;
+
+    private record Running(int route, int inService, int speedPercent) {}
+
     private final int mSlots;
     private final ColdStart mColdStart;
-    private final Map<Integer, Deque<Ticket>> mQueues = new TreeMap<>();
-    private final Set<String> mInService = new HashSet<>();
-    private final Map<String, Ticket> mWaiting = new HashMap<>();
-    private double mServiceMicros;
+    private final WorkEstimates mWork;
+    private final SpeedBelief mSpeed = new SpeedBelief();
     private final SecondRate mRate = new SecondRate();
+    private final Map<String, Running> mInService = new HashMap<>();
+    private final Map<String, Ticket> mWaiting = new LinkedHashMap<>();
+    private double mFailurePart;
     private long mColdUntilNanos;
     private boolean mColdKnown;
     private int mColdLimit;
@@ -55,6 +56,7 @@
         }
         mSlots = slots;
         mColdStart = ColdStart.of(slots, coldSlots, warmUpRequests);
+        mWork = WorkEstimates.of(slots);
     }
 
     /**
@@ -69,92 +71,135 @@
         return new GateAdmission(slots, coldSlots, warmUpRequests);
     }
 
+    // -- queries
+
     /**
-     * Sets how many calls the target may get in a second.
+     * Returns the load now.
      *
-     * @param bounds what the fleet keeps within
-     * @param coldPerSecond calls per second that a cold target bears; 0 without a limit
+     * @return a snapshot
      */
-    public void boundRates(final FleetBounds bounds, final double coldPerSecond) {
-        if (coldPerSecond <= 0) {
-            mColdLimit = 0;
-            mWarmLimit = 0;
-            return;
-        }
-        mColdLimit = Math.max(1, (int) Math.floor(coldPerSecond));
-        mWarmLimit =
-                (int)
-                        Math.max(
-                                mColdLimit,
-                                Math.floor(
-                                        coldPerSecond * bounds.coldOverage()
-                                                + bounds.coldSlack()
-                                                - RATE_MARGIN));
+    public TargetLoad load() {
+        return new TargetLoad(
+                mInService.size(),
+                mWaiting.size(),
+                allowance(),
+                Math.round(mWork.meanNanos() / 1_000),
+                mAccepting,
+                mSpeed.percent(),
+                (int) Math.round(mFailurePart * 100));
     }
 
     /**
-     * Takes note of how long the target stays cold.
+     * Returns the most requests that were ever in service at once.
      *
-     * @param millis the time in milliseconds; 0 when it is warm
-     * @param nowNanos the monotonic clock
+     * @return a count since the announcement
      */
-    public void coldFor(final long millis, final long nowNanos) {
-        mColdKnown = millis > 0;
-        mColdUntilNanos = nowNanos + millis * 1_000_000L;
+    public int peakInService() {
+        return mPeakInService;
     }
 
-    private int rateLimit(final long nowNanos) {
-        final boolean cold = mColdKnown && nowNanos - mColdUntilNanos < 0;
-        return cold ? mColdLimit : mWarmLimit;
+    /**
+     * Returns how often the target was found to have turned cold.
+     *
+     * @return a count since the announcement
+     */
+    public long coldFalls() {
+        return mColdStart.falls();
     }
 
-    private boolean hasRoom(final long nowNanos) {
-        return mInService.size() < mColdStart.allowance()
-                && mRate.waitNanos(rateLimit(nowNanos), nowNanos) == 0;
+    /**
+     * Returns whether the target's speed must be asked for before the next call can enter.
+     *
+     * @param nowNanos the monotonic clock
+     * @return true when a call waits for nothing else
+     */
+    public boolean needsSpeed(final long nowNanos) {
+        return !mWaiting.isEmpty() && hasRoom(nowNanos) && mSpeed.isStale(nowNanos);
     }
 
     /**
-     * Returns when a waiting call may enter although no call ends.
+     * Returns when waiting calls should be looked at again although nothing happens.
      *
      * @param nowNanos the monotonic clock
-     * @return nanoseconds from now; 0 when only the end of a call helps
+     * @return nanoseconds from now; the largest value when nothing waits
      */
-    public long rateWaitNanos(final long nowNanos) {
-        return mWaiting.isEmpty() ? 0 : mRate.waitNanos(rateLimit(nowNanos), nowNanos);
+    public long nextLookNanos(final long nowNanos) {
+        long next = Long.MAX_VALUE;
+        for (final Ticket ticket : mWaiting.values()) {
+            next = Math.min(next, Math.max(0, ticket.queueEndNanos() - nowNanos));
+        }
+        if (next == Long.MAX_VALUE || mInService.size() >= allowance()) {
+            return next;
+        }
+        final long rate = mRate.waitNanos(rateLimit(nowNanos), nowNanos);
+        return Math.min(next, Math.max(rate, mSpeed.lookAgainNanos(nowNanos)));
     }
 
-    // -- queries
+    private int allowance() {
+        return Math.min(mColdStart.allowance(), mWork.bestConcurrency());
+    }
+
+    // -- what is learned
 
     /**
-     * Returns the load now.
+     * Sets whether the target's speed can be asked for; otherwise it is taken as normal.
      *
-     * @return a snapshot
+     * @param askable whether a question has an answer
      */
-    public TargetLoad load() {
-        return new TargetLoad(
-                mInService.size(),
-                mWaiting.size(),
-                mColdStart.allowance(),
-                Math.round(mServiceMicros),
-                mAccepting);
+    public void askSpeed(final boolean askable) {
+        mSpeed.setAskable(askable);
     }
 
     /**
-     * Returns the most requests that were ever in service at once.
+     * Takes note of the target's speed.
      *
-     * @return a count since the announcement
+     * @param percent how long work takes now, in percent of normal
+     * @param nowNanos the monotonic clock
      */
-    public int peakInService() {
-        return mPeakInService;
+    public void noteSpeed(final int percent, final long nowNanos) {
+        mSpeed.note(percent, nowNanos);
     }
 
     /**
-     * Returns how often the target was found to have turned cold.
+     * Takes note of a question that had no answer; the speed is taken as normal for a moment.
      *
-     * @return a count since the announcement
+     * @param nowNanos the monotonic clock
      */
-    public long coldFalls() {
-        return mColdStart.falls();
+    public void speedUnknown(final long nowNanos) {
+        mSpeed.note(TargetLoad.NORMAL_SPEED, nowNanos);
+    }
+
+    /**
+     * Sets how many calls the target may get in a second.
+     *
+     * @param bounds what the fleet keeps within
+     * @param coldPerSecond calls per second that a cold target bears; 0 without a limit
+     */
+    public void boundRates(final FleetBounds bounds, final double coldPerSecond) {
+        if (coldPerSecond <= 0) {
+            mColdLimit = 0;
+            mWarmLimit = 0;
+            return;
+        }
+        final double most = coldPerSecond * bounds.coldOverage() + bounds.coldSlack() - RATE_MARGIN;
+        mColdLimit = Math.max(1, (int) Math.floor(coldPerSecond));
+        mWarmLimit = Math.max(mColdLimit, (int) Math.floor(most));
+    }
+
+    /**
+     * Takes note of how long the target stays cold.
+     *
+     * @param millis the time in milliseconds; 0 when it is warm
+     * @param nowNanos the monotonic clock
+     */
+    public void coldFor(final long millis, final long nowNanos) {
+        mColdKnown = millis > 0;
+        mColdUntilNanos = nowNanos + millis * 1_000_000L;
+    }
+
+    private int rateLimit(final long nowNanos) {
+        final boolean cold = mColdKnown && nowNanos - mColdUntilNanos < 0;
+        return cold ? mColdLimit : mWarmLimit;
     }
 
     // -- transitions
@@ -171,19 +216,42 @@
         if (!mAccepting) {
             return new AdmissionDecision.Refused(ErrorCode.LEAVING);
         }
-        if (mWaiting.isEmpty() && hasRoom(nowNanos)) {
+        if (!isAheadOfAny(ticket, nowNanos) && hasRoom(nowNanos) && mayEnter(ticket, nowNanos)) {
             enter(ticket, nowNanos);
             return new AdmissionDecision.Admitted();
         }
-        if (ticket.queueDeadlineNanos() - nowNanos <= 0
-                || mWaiting.size() >= mSlots * QUEUE_FACTOR) {
+        if (ticket.queueEndNanos() - nowNanos <= 0
+                || mWaiting.size() >= mSlots * QUEUE_FACTOR
+                || !canStartInTime(ticket, nowNanos)) {
             return new AdmissionDecision.Refused(ErrorCode.OVERLOADED);
         }
-        mQueues.computeIfAbsent(ticket.classRank(), rank -> new ArrayDeque<>()).addLast(ticket);
         mWaiting.put(ticket.callId(), ticket);
         return new AdmissionDecision.Queued();
     }
 
+    private boolean isAheadOfAny(final Ticket ticket, final long nowNanos) {
+        final Comparator<Ticket> order = order(nowNanos);
+        return mWaiting.values().stream().anyMatch(other -> order.compare(other, ticket) < 0);
+    }
+
+    /** Returns whether the calls ahead leave the ticket a slot before its queue time ends. */
+    private boolean canStartInTime(final Ticket ticket, final long nowNanos) {
+        final Comparator<Ticket> order = order(nowNanos);
+        double aheadNanos = 0;
+        for (final Ticket other : mWaiting.values()) {
+            if (order.compare(other, ticket) < 0) {
+                aheadNanos += mWork.expectedNanos(other.route(), allowance());
+            }
+        }
+        if (mInService.size() >= allowance()) {
+            aheadNanos += mWork.meanNanos() / 2;
+        }
+        final double startNanos = aheadNanos / Math.max(1, allowance());
+        final double endNanos = startNanos + mWork.expectedNanos(ticket.route(), allowance());
+        return nowNanos + (long) startNanos - ticket.queueEndNanos() <= 0
+                && nowNanos + (long) endNanos - ticket.deadlineNanos() <= 0;
+    }
+
     /**
      * Takes a call out of service or out of the queue.
      *
@@ -198,33 +266,48 @@
             final boolean healthy,
             final long serviceNanos,
             final long nowNanos) {
-        if (mInService.remove(callId)) {
-            if (serviceNanos >= 0) {
-                mColdStart.complete(healthy, serviceNanos);
-                learn(healthy ? serviceNanos : Math.max(serviceNanos, FAILURE_COST_NANOS));
-            }
-        } else {
-            withdraw(callId);
+        final Running running = mInService.remove(callId);
+        if (running == null) {
+            mWaiting.remove(callId);
+        } else if (serviceNanos >= 0) {
+            mColdStart.complete(healthy, serviceNanos);
+            mFailurePart += FAILURE_WEIGHT * ((healthy ? 0 : 1) - mFailurePart);
+            learn(running, healthy, serviceNanos, nowNanos);
         }
         return settle(nowNanos);
     }
 
+    private void learn(
+            final Running running,
+            final boolean healthy,
+            final long serviceNanos,
+            final long nowNanos) {
+        final double normal =
+                serviceNanos * (double) TargetLoad.NORMAL_SPEED / running.speedPercent();
+        final double counted = healthy ? normal : Math.max(normal, FAILURE_COST_NANOS);
+        mWork.learn(running.route(), running.inService(), counted, nowNanos);
+    }
+
     /**
-     * Moves waiting calls into free slots and drops those that waited too long.
+     * Moves waiting calls into free slots and drops those whose time is up.
      *
      * @param nowNanos the monotonic clock
      * @return the queued calls that changed their state
      */
     public Settled settle(final long nowNanos) {
-        final List<Ticket> expired = expire(nowNanos);
+        final List<Ticket> expired = new ArrayList<>();
         final List<Ticket> admitted = new ArrayList<>();
-        while (hasRoom(nowNanos)) {
-            final Ticket next = next();
-            if (next == null) {
-                break;
+        final List<Ticket> ordered = new ArrayList<>(mWaiting.values());
+        ordered.sort(order(nowNanos));
+        for (final Ticket ticket : ordered) {
+            if (ticket.queueEndNanos() - nowNanos <= 0 || isHopeless(ticket, nowNanos)) {
+                mWaiting.remove(ticket.callId());
+                expired.add(ticket);
+            } else if (hasRoom(nowNanos) && mayEnter(ticket, nowNanos)) {
+                mWaiting.remove(ticket.callId());
+                enter(ticket, nowNanos);
+                admitted.add(ticket);
             }
-            enter(next, nowNanos);
-            admitted.add(next);
         }
         return new Settled(admitted, expired);
     }
@@ -237,7 +320,6 @@
     public List<Ticket> stop() {
         mAccepting = false;
         final List<Ticket> waiting = List.copyOf(mWaiting.values());
-        mQueues.clear();
         mWaiting.clear();
         return waiting;
     }
@@ -255,53 +337,59 @@
         mColdStart.fall();
     }
 
-    // -- queue
+    // -- entry
+
+    private boolean hasRoom(final long nowNanos) {
+        return mInService.size() < allowance()
+                && mRate.waitNanos(rateLimit(nowNanos), nowNanos) == 0;
+    }
+
+    /** Returns whether a call should enter a free slot now rather than wait or go elsewhere. */
+    private boolean mayEnter(final Ticket ticket, final long nowNanos) {
+        if (mSpeed.isStale(nowNanos)) {
+            return false;
+        }
+        final double normal = mWork.expectedNanos(ticket.route(), mInService.size() + 1);
+        final double now = normal * mSpeed.percent() / TargetLoad.NORMAL_SPEED;
+        if (nowNanos + (long) now - ticket.objectiveNanos() <= 0 || !mSpeed.isSlow()) {
+            return true;
+        }
+        return ticket.lastResort() && isLastChance(ticket, now, nowNanos);
+    }
+
+    /** Returns whether a slow target must begin now to end before the deadline, and still can. */
+    private static boolean isLastChance(
+            final Ticket ticket, final double expectedNanos, final long nowNanos) {
+        final double leftNanos = ticket.deadlineNanos() - nowNanos;
+        return expectedNanos <= leftNanos && leftNanos <= expectedNanos * 1.4;
+    }
 
     private void enter(final Ticket ticket, final long nowNanos) {
         if (mInService.size() >= mColdStart.allowance()) {
             throw new BilberrylaneException(
                     ErrorCode.INVARIANT_VIOLATED, "requests in service exceed the allowance");
         }
-        mInService.add(ticket.callId());
+        final int inService = mInService.size() + 1;
+        mInService.put(ticket.callId(), new Running(ticket.route(), inService, mSpeed.percent()));
         mRate.note(nowNanos);
-        mPeakInService = Math.max(mPeakInService, mInService.size());
+        mPeakInService = Math.max(mPeakInService, inService);
     }
 
-    private Ticket next() {
-        final boolean overloaded = mWaiting.size() > mColdStart.allowance() * OVERLOAD_FACTOR;
-        for (final Deque<Ticket> queue : mQueues.values()) {
-            final Ticket ticket = overloaded ? queue.pollLast() : queue.pollFirst();
-            if (ticket != null) {
-                mWaiting.remove(ticket.callId());
-                return ticket;
-            }
-        }
-        return null;
-    }
-
-    private void withdraw(final String callId) {
-        final Ticket ticket = mWaiting.remove(callId);
-        if (ticket != null) {
-            mQueues.get(ticket.classRank()).remove(ticket);
-        }
+    /** Orders calls that can still end within their objective first. */
+    private Comparator<Ticket> order(final long nowNanos) {
+        return Comparator.comparing((Ticket ticket) -> isLate(ticket, nowNanos))
+                .thenComparingInt(Ticket::rank)
+                .thenComparingLong(ticket -> ticket.objectiveNanos() - nowNanos);
     }
 
-    private List<Ticket> expire(final long nowNanos) {
-        final List<Ticket> expired = new ArrayList<>();
-        for (final Ticket ticket : List.copyOf(mWaiting.values())) {
-            if (ticket.queueDeadlineNanos() - nowNanos <= 0) {
-                withdraw(ticket.callId());
-                expired.add(ticket);
-            }
-        }
-        return expired;
+    /** Returns whether a call can no longer end before its deadline, even at normal speed. */
+    private boolean isHopeless(final Ticket ticket, final long nowNanos) {
+        final double least = mWork.expectedNanos(ticket.route(), 1) * HOPELESS_PART;
+        return nowNanos + (long) least - ticket.deadlineNanos() > 0;
     }
 
-    private void learn(final long serviceNanos) {
-        final double micros = serviceNanos / 1_000.0;
-        mServiceMicros =
-                mServiceMicros == 0
-                        ? micros
-                        : mServiceMicros + SERVICE_WEIGHT * (micros - mServiceMicros);
+    private boolean isLate(final Ticket ticket, final long nowNanos) {
+        final double normal = mWork.expectedNanos(ticket.route(), 1);
+        return nowNanos + (long) normal - ticket.objectiveNanos() > 0;
     }
 }
--- a/src/main/java/io/bilberrylane/policy/LoadTable.java
+++ b/src/main/java/io/bilberrylane/policy/LoadTable.java
@@ -95,7 +95,9 @@
                         load.queued(),
                         load.allowance(),
                         load.serviceMicros(),
-                        load.accepting()));
+                        load.accepting(),
+                        load.speedPercent(),
+                        load.failurePercent()));
     }
 
     /**
@@ -110,6 +112,19 @@
         return entry == null || entry.mLoad == null ? Long.MAX_VALUE : nowNanos - entry.mToldNanos;
     }
 
+    /**
+     * Returns the last told speed of a target.
+     *
+     * @param host the target's host
+     * @return how long work takes there, in percent of normal
+     */
+    public int speedPercent(final String host) {
+        final Entry entry = mEntries.get(host);
+        return entry == null || entry.mLoad == null
+                ? TargetLoad.NORMAL_SPEED
+                : entry.mLoad.speedPercent();
+    }
+
     /**
      * Returns the calls sent to a target that are not over.
      *
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -8,24 +8,34 @@
 import java.util.Random;
 
 /**
- * Chooses a target by expected wait: the work ahead of a call, plus the way there and back.
+ * Chooses a target by expected time to the answer: the work ahead of a call, the target's speed as
+ * far as it is still known, and the way there and back.
  *
- * <p>A few targets are drawn at random and the best of them is taken, so that many ingresses with
- * the same stale view do not all choose the same target. Not thread-safe.
+ * <p>Of many targets only some are drawn and the best of them is taken, so that many ingresses with
+ * the same view do not all choose the same target. Not thread-safe.
  */
 public final class TargetSelector {
-    /** Targets drawn for one choice. */
-    static final int DRAWN = 3;
+    /** Targets of other data centres drawn for one choice. */
+    static final int DRAWN = 8;
 
     /** Assumed service time of a target that never told one, in microseconds. */
     static final long DEFAULT_SERVICE_MICROS = 2_000;
 
-    /** Assumed time to another data centre and back, in microseconds. */
+    /** Least assumed time to another data centre and back, in microseconds. */
     static final long REMOTE_ROUND_TRIP_MICROS = 2_000;
 
+    /** What another data centre must be better by, as a part of the call's objective. */
+    static final double REMOTE_OBJECTIVE_PART = 0.08;
+
     /** A gate that admitted nothing is left alone for this long, in nanoseconds. */
     static final long REFUSAL_TRUST_NANOS = 1_000_000_000L;
 
+    /** How fast news of a target's speed loses its worth, in nanoseconds. */
+    static final double SPEED_FADE_NANOS = 300e6;
+
+    /** Costs that differ by less are as good as equal, as a part. */
+    private static final double JITTER = 0.05;
+
     private final String mDataCentre;
     private final LoadTable mLoads;
     private final Random mRandom;
@@ -57,23 +67,32 @@
      *
      * @param candidates targets of the service that are in service
      * @param excluded hosts that were tried before
+     * @param need what the call needs
      * @param nowNanos the monotonic clock
      * @return the choice, or nothing when no candidate is left
      */
     public Optional<Candidate> choose(
             final List<Candidate> candidates,
             final Collection<String> excluded,
+            final CallNeed need,
             final long nowNanos) {
-        final List<Candidate> left = new ArrayList<>(candidates.size());
+        final List<Candidate> near = new ArrayList<>();
+        final List<Candidate> far = new ArrayList<>();
+        boolean nearAccepts = false;
         for (final Candidate candidate : candidates) {
-            if (!excluded.contains(candidate.host()) && isAccepting(candidate, nowNanos)) {
-                left.add(candidate);
+            if (!isAccepting(candidate, nowNanos)) {
+                continue;
             }
+            final boolean isNear = candidate.dataCentre().equals(mDataCentre);
+            nearAccepts |= isNear;
+            if (!excluded.contains(candidate.host())) {
+                (isNear ? near : far).add(candidate);
+            }
+        }
+        Candidate best = best(near, near.size(), null, need, nowNanos);
+        if (!(need.staysNear() && nearAccepts)) {
+            best = best(far, DRAWN, best, need, nowNanos);
         }
-        final List<Candidate> near =
-                left.stream().filter(c -> c.dataCentre().equals(mDataCentre)).toList();
-        Candidate best = best(near, null);
-        best = best(left, best);
         return Optional.ofNullable(best);
     }
 
@@ -81,36 +100,60 @@
      * Returns the expected time until a call at a target would be answered.
      *
      * @param candidate the target
+     * @param need what the call needs
+     * @param nowNanos the monotonic clock
      * @return microseconds
      */
-    public double costMicros(final Candidate candidate) {
-        final Optional<TargetLoad> load = mLoads.estimate(candidate.host());
+    public double costMicros(final Candidate candidate, final CallNeed need, final long nowNanos) {
         final double travel =
-                candidate.dataCentre().equals(mDataCentre) ? 0 : REMOTE_ROUND_TRIP_MICROS;
+                candidate.dataCentre().equals(mDataCentre)
+                        ? 0
+                        : Math.max(
+                                REMOTE_ROUND_TRIP_MICROS,
+                                need.objectiveMicros() * REMOTE_OBJECTIVE_PART);
+        final Optional<TargetLoad> load = mLoads.estimate(candidate.host());
         if (load.isEmpty()) {
             final int outstanding = mLoads.outstanding(candidate.host());
             return travel + DEFAULT_SERVICE_MICROS * (1.0 + outstanding);
         }
         final TargetLoad known = load.get();
-        final double service = Math.max(1, known.serviceMicros());
+        final double service = Math.max(1, known.serviceMicros()) * speed(candidate, nowNanos);
         final double allowance = Math.max(1, known.allowance());
-        final double ahead = known.inFlight() + known.queued();
-        return travel + service * (1.0 + ahead / allowance);
+        final double ahead = Math.max(0, known.inFlight() + known.queued() + 1 - allowance);
+        final double crowd = 0.1 * known.inFlight() / allowance;
+        final double failures = 1 + 4 * Math.min(1, known.failurePercent() / 50.0);
+        return travel + service * (1 + crowd + ahead / allowance) * failures;
     }
 
     // -- choice
 
+    private double speed(final Candidate candidate, final long nowNanos) {
+        final double told = mLoads.speedPercent(candidate.host()) / 100.0;
+        final double ageNanos = mLoads.ageNanos(candidate.host(), nowNanos);
+        return 1 + (told - 1) * Math.exp(-ageNanos / SPEED_FADE_NANOS);
+    }
+
     private boolean isAccepting(final Candidate candidate, final long nowNanos) {
         return mLoads.ageNanos(candidate.host(), nowNanos) > REFUSAL_TRUST_NANOS
                 || mLoads.estimate(candidate.host()).map(TargetLoad::accepting).orElse(true);
     }
 
-    private Candidate best(final List<Candidate> from, final Candidate first) {
+    private Candidate best(
+            final List<Candidate> from,
+            final int draws,
+            final Candidate first,
+            final CallNeed need,
+            final long nowNanos) {
         Candidate best = first;
-        for (int i = 0; i < Math.min(DRAWN, from.size()); i++) {
-            final Candidate drawn = from.get(mRandom.nextInt(from.size()));
-            if (best == null || costMicros(drawn) < costMicros(best)) {
+        double least = best == null ? Double.MAX_VALUE : costMicros(best, need, nowNanos);
+        for (int i = 0; i < Math.min(draws, from.size()); i++) {
+            final Candidate drawn =
+                    from.size() <= draws ? from.get(i) : from.get(mRandom.nextInt(from.size()));
+            final double cost =
+                    costMicros(drawn, need, nowNanos) * (1 + JITTER * mRandom.nextDouble());
+            if (best == null || cost < least) {
                 best = drawn;
+                least = cost;
             }
         }
         return best;
