Choose by the route's own work; hold late calls less; leave in phases

Now gates tell the time of the call's own route; a late call waits 0.3 of its objective at one last gate; a leaving node serves for half of its time, then refuses, then ends. A retry takes from the ingress's share of the fleet's budget; failed repeatable calls are sent to another target within it.

--- a/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
+++ b/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
@@ -115,7 +115,7 @@
             final List<Candidate> candidates = new ArrayList<>();
             for (int i = 0; i < targets; i++) {
                 candidates.add(new Candidate("host-" + i, "dc-" + i % 26, 6));
-                loads.told("host-" + i, TargetLoad.of(i % 6, 0, 6, 3_000, true), 0);
+                loads.told("host-" + i, 0, TargetLoad.of(i % 6, 0, 6, 3_000, true), 0);
             }
             final TargetSelector selector = TargetSelector.of("dc-0", loads, new Random(SEED));
             add(
@@ -147,7 +147,8 @@
                         0,
                         1_000,
                         1,
-                        1_000);
+                        1_000,
+                        true);
         final PeerMessage open = new PeerMessage.Open(1, head);
         add(
                 "open message, encoded and decoded",
--- a/src/main/java/io/bilberrylane/cli/NodeSettingsReader.java
+++ b/src/main/java/io/bilberrylane/cli/NodeSettingsReader.java
@@ -66,10 +66,10 @@
                         "1"),
                 Flag.of("workers", "COUNT", "worker threads", "1"),
                 Flag.of(
-                        "drain-millis",
-                        "MS",
-                        "longest time for calls in progress when leaving, in milliseconds",
-                        "30000"),
+                        "drain-seconds",
+                        "S",
+                        "time between the signal to stop and the end of the process, in seconds",
+                        "10"),
                 Flag.of(
                         "cold-overage",
                         "FACTOR",
@@ -112,7 +112,7 @@
                         addresses(settings),
                         settings.httpUri("platform"),
                         (int) settings.number("workers", 1, 64),
-                        settings.number("drain-millis", 0, 3_600_000),
+                        Math.round(settings.decimal("drain-seconds", 0, 3_600) * 1_000),
                         bounds(settings),
                         profile(settings));
         settings.orThrow();
--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -24,6 +24,7 @@
     private final IngressSettings mSettings;
     private Channel mChannel;
     private volatile boolean mLeaving;
+    private volatile boolean mRefusing;
 
     private HttpServer(
             final HttpLimits limits,
@@ -42,6 +43,7 @@
                         local,
                         localPrefix,
                         () -> mLeaving,
+                        () -> mRefusing,
                         names,
                         service,
                         metrics);
@@ -175,6 +177,11 @@
         mLeaving = true;
     }
 
+    /** Refuses each request from now on, without a run, and closes its connection. */
+    public void refuseNew() {
+        mRefusing = true;
+    }
+
     /** Accepts no connection from now on and closes each one as soon as it is idle. */
     public void closeIdle() {
         mChannel.close().syncUninterruptibly();
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -50,6 +50,7 @@
 
     private static final long LINGER_MILLIS = 1_000;
     private static final long NOT_READY_RETRY_MILLIS = 300;
+    private static final long LEAVING_RETRY_MILLIS = 100;
 
     private final ChannelHandlerContext mCtx;
     private final IngressHandler mHandler;
@@ -91,6 +92,10 @@
             readBodyEnd(bodyBytes);
             return;
         }
+        if (mSettings.isRefusing()) {
+            refuse(ErrorCode.LEAVING, true, LEAVING_RETRY_MILLIS);
+            return;
+        }
         final Catalogue catalogue = mSettings.catalogue().get();
         final String path = mRequest.uri().split("\\?", 2)[0];
         final Optional<Route> route = route(catalogue, path);
@@ -186,7 +191,8 @@
                 route.priority(),
                 route.objectiveMillis(),
                 route.id(),
-                timeoutMillis);
+                timeoutMillis,
+                true);
     }
 
     private List<HeaderField> headers() {
@@ -214,7 +220,8 @@
                 0,
                 0,
                 0,
-                0);
+                0,
+                true);
     }
 
     // -- the caller's side
--- a/src/main/java/io/bilberrylane/http/IngressSettings.java
+++ b/src/main/java/io/bilberrylane/http/IngressSettings.java
@@ -15,6 +15,9 @@
  * @param local answers requests to the node itself, if this address has any
  * @param localPrefix the path prefix of requests to the node itself
  * @param leaving whether answers close their connections
+ * @param refusing whether new requests are refused
+ * @param names the header fields that callers use
+ * @param service the service beside the node, told to targets; may be empty
  * @param metrics counts calls and their ends
  */
 record IngressSettings(
@@ -24,6 +27,7 @@
         Optional<LocalEndpoint> local,
         String localPrefix,
         BooleanSupplier leaving,
+        BooleanSupplier refusing,
         HeaderNames names,
         String service,
         IngressMetrics metrics) {
@@ -35,6 +39,10 @@
         Objects.requireNonNull(service, "service is null");
     }
 
+    boolean isRefusing() {
+        return refusing.getAsBoolean();
+    }
+
     boolean isLeaving() {
         return leaving.getAsBoolean();
     }
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -286,6 +286,19 @@
         return target == null ? TargetLoad.ABSENT : mAdmissionLock.get(target.admission()::load);
     }
 
+    /**
+     * Returns the load of the target as it matters to calls of one route.
+     *
+     * @param route the route
+     * @return {@link TargetLoad#ABSENT} without a target
+     */
+    TargetLoad load(final int route) {
+        final GateTarget target = mTarget;
+        return target == null
+                ? TargetLoad.ABSENT
+                : mAdmissionLock.get(() -> target.admission().load(route));
+    }
+
     // -- calls
 
     @Override
@@ -386,7 +399,7 @@
                         now + TimeUnit.MILLISECONDS.toNanos(waitMillis),
                         now + TimeUnit.MILLISECONDS.toNanos(call.head().objectiveMillis()),
                         now + TimeUnit.MILLISECONDS.toNanos(call.head().timeoutMillis()),
-                        call.head().patienceMillis() >= call.head().timeoutMillis());
+                        call.head().lastResort());
         final AdmissionDecision decision =
                 mAdmissionLock.get(
                         () -> {
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -99,7 +99,7 @@
     void start() {
         if (!mGate.reserve(mHead.callId())) {
             mState = State.OVER;
-            mSink.onRefused(Refusal.of(ErrorCode.CANCELLED), mGate.load());
+            mSink.onRefused(Refusal.of(ErrorCode.CANCELLED), mGate.load(mHead.route()));
             return;
         }
         if (mKey.isPresent()) {
@@ -146,7 +146,7 @@
         mGate.markRefused(mHead.callId());
         mKey.ifPresent(KeyedRun::release);
         if (!mCallerGone) {
-            mSink.onRefused(new Refusal(code, 0, holder), mGate.load());
+            mSink.onRefused(new Refusal(code, 0, holder), mGate.load(mHead.route()));
         }
     }
 
@@ -175,7 +175,7 @@
                     mReplay = answer;
                     mState = State.REPLAYING;
                     if (mHead.hasBody()) {
-                        mSink.onAdmitted(mGate.load());
+                        mSink.onAdmitted(mGate.load(mHead.route()));
                         final List<ByteBuf> early = List.copyOf(mEarlyBody);
                         mEarlyBody.clear();
                         early.forEach(this::skip);
@@ -220,7 +220,7 @@
         headers.add(new HeaderField(Headers.REPLAYED, "true"));
         mSink.onHead(AnswerHead.of(mReplay.head().status(), headers));
         mSink.onData(Unpooled.wrappedBuffer(mReplay.bodyBytes()));
-        mSink.onEnd(mGate.load());
+        mSink.onEnd(mGate.load(mHead.route()));
     }
 
     // -- start
@@ -270,13 +270,13 @@
         mState = State.STARTED;
         mConnection = connection;
         mStartedNanos = System.nanoTime();
-        mLoadAtStart = mGate.load();
+        mLoadAtStart = mGate.load(mHead.route());
         mDeadline =
                 mLoop.schedule(
                         this::onDeadline, mDeadlineNanos - mStartedNanos, TimeUnit.NANOSECONDS);
         connection.send(request(), !mHead.hasBody(), this);
         if (mHead.hasBody()) {
-            mSink.onAdmitted(mGate.load());
+            mSink.onAdmitted(mGate.load(mHead.route()));
         }
         mEarlyBody.forEach(connection::sendBody);
         mEarlyBody.clear();
@@ -461,7 +461,7 @@
                     mKey.ifPresent(KeyedRun::finish);
                     giveSlotBack(mStatus < 500, System.nanoTime() - mStartedNanos);
                     if (!mCallerGone) {
-                        mSink.onEnd(mGate.load());
+                        mSink.onEnd(mGate.load(mHead.route()));
                     }
                 });
     }
--- a/src/main/java/io/bilberrylane/node/MembershipService.java
+++ b/src/main/java/io/bilberrylane/node/MembershipService.java
@@ -182,6 +182,15 @@
         return mLock.get(mTable::members);
     }
 
+    /**
+     * Returns how many nodes may serve calls, this one included.
+     *
+     * @return at least 1
+     */
+    public int presentCount() {
+        return Math.max(1, mLock.get(mTable::presentCount));
+    }
+
     /**
      * Returns the record of a host.
      *
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -21,7 +21,14 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
     private static final long LEASE_CHECK_MILLIS = 200;
-    private static final long CALLER_MOVE_MILLIS = 1_500;
+    private static final long LAST_WORD_MILLIS = 50;
+
+    /** Parts of the time to leave, in the order of what happens at their end. */
+    private static final double GATE_STOP_PART = 0.2;
+
+    private static final double CALLERS_MOVED_PART = 0.4;
+    private static final double REFUSE_PART = 0.5;
+    private static final double END_PART = 0.95;
     private static final long DRAIN_POLL_MILLIS = 20;
 
     private final ResourceCloser mCloser = ResourceCloser.empty();
@@ -30,6 +37,7 @@
     private final Transport mTransport;
     private final PlatformClient mPlatform;
     private final NodeMetrics mMetrics = new NodeMetrics();
+    private volatile boolean mLeaving;
     private Gate mGate;
     private PeerLinks mLinks;
     private ConfigurationService mConfiguration;
@@ -92,7 +100,13 @@
         mMembership.onVersion(mConfiguration::heard);
         mRouter =
                 new Router(
-                        mIdentity, mConfiguration, mMembership, mLinks, mGate, mSettings.regions());
+                        mIdentity,
+                        mConfiguration,
+                        mMembership,
+                        mLinks,
+                        mGate,
+                        mSettings.regions(),
+                        () -> mSettings.bounds());
         openHttp();
         mSeeds =
                 new SeedService(
@@ -230,7 +244,7 @@
     }
 
     private boolean isReady() {
-        return mConfiguration.isComplete() && !mGate.isLeaving();
+        return mConfiguration.isComplete() && !mLeaving;
     }
 
     /**
@@ -294,37 +308,56 @@
 
     // -- leaving
 
-    /** Leaves the fleet without cutting a request, then closes. Blocks. */
+    /**
+     * Leaves the fleet without cutting a request, then closes. Blocks.
+     *
+     * <p>Callers are moved away first: the node is no longer ready, and each answer closes its
+     * connection. Requests that come all the same are served during the first half of the time,
+     * then refused, so that all that were taken can end.
+     */
     public void leave() {
         LOGGER.atInfo().log("node %s leaves", mIdentity.host());
-        final long deadlineNanos =
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mSettings.drainMillis());
-        mGate.leave();
+        final long startNanos = System.nanoTime();
+        mLeaving = true;
         mSeeds.stop();
-        mMembership.tellTarget(mGate.record());
         mCallerServer.leave();
         mTargetServer.leave();
-        sleep(CALLER_MOVE_MILLIS);
-        awaitIdle(deadlineNanos);
+        sleepUntil(startNanos, GATE_STOP_PART);
+        mGate.leave();
+        mMembership.tellTarget(mGate.record());
+        sleepUntil(startNanos, CALLERS_MOVED_PART);
+        awaitIdle(startNanos, REFUSE_PART);
+        mCallerServer.refuseNew();
+        mTargetServer.refuseNew();
+        awaitIdle(startNanos, END_PART);
         mWatcher.stop();
         mMembership.tellLeave();
-        sleep(CALLER_MOVE_MILLIS / 2);
         mCallerServer.closeIdle();
         mTargetServer.closeIdle();
-        awaitIdle(deadlineNanos);
+        sleep(LAST_WORD_MILLIS);
         if (isBusy()) {
             LOGGER.atWarning().log(
-                    "calls still in progress after %d ms are cut", mSettings.drainMillis());
+                    "%d calls of callers and %d at the target still in progress after %d ms are cut",
+                    mRouter.callsInProgress(), mGate.load().inFlight(), mSettings.drainMillis());
         }
         close();
     }
 
-    private void awaitIdle(final long deadlineNanos) {
-        while (isBusy() && System.nanoTime() - deadlineNanos < 0) {
+    private void sleepUntil(final long startNanos, final double part) {
+        sleep(leftMillis(startNanos, part));
+    }
+
+    private void awaitIdle(final long startNanos, final double part) {
+        while (isBusy() && leftMillis(startNanos, part) > 0) {
             sleep(DRAIN_POLL_MILLIS);
         }
     }
 
+    private long leftMillis(final long startNanos, final double part) {
+        final long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        return Math.max(0, Math.round(mSettings.drainMillis() * part) - elapsed);
+    }
+
     private boolean isBusy() {
         return mGate.load().inFlight() > 0 || mRouter.callsInProgress() > 0;
     }
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -16,7 +16,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -27,6 +29,11 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long DEADLINE_GRACE_MILLIS = 10;
     private static final long PAUSE_MILLIS = 20;
+    private static final int SERVER_ERROR = 500;
+
+    /** A call with less than this part of its time left is not sent to another target. */
+    private static final long LEAST_RETRY_PART = 5;
+
     private static final int MAX_TRAIL_CHARS = 400;
 
     /** A caller is asked to come back after this part of its time. */
@@ -46,6 +53,7 @@
     private final StringBuilder mTrail = new StringBuilder();
     private Attempt mAttempt;
     private ScheduledFuture<?> mDeadline;
+    private boolean mRetryGranted;
     private boolean mBodySent;
     private boolean mHeadSeen;
     private boolean mMayHaveRun;
@@ -65,6 +73,7 @@
         mSink = sink;
         mNeed =
                 new CallNeed(
+                        route.id(),
                         head.objectiveMillis() * 1_000.0,
                         head.bodyBytes() < 0 || head.bodyBytes() > NEAR_BODY_BYTES);
         mPlan = CallPlan.of(head.timeoutMillis(), head.objectiveMillis(), route.attempts());
@@ -73,7 +82,7 @@
     // -- attempts
 
     void start() {
-        mRouter.callStarted();
+        mRouter.callStarted(mHead.service());
         mDeadline =
                 mExecutor.schedule(
                         this::onDeadline,
@@ -89,14 +98,22 @@
             refuse(Refusal.of(ErrorCode.DEADLINE_EXCEEDED));
             return;
         }
+        if (mPlan.runs() > 0 && !mRetryGranted && !mRouter.mayRetry(mHead.service())) {
+            trail("budget");
+            refuse(otherwise);
+            return;
+        }
+        mRetryGranted = mPlan.runs() > 0;
         final Optional<TargetRef> target =
                 otherwise.holder().isEmpty() ? choose() : mRouter.holder(otherwise.holder());
         if (target.isEmpty()) {
             refuseOrPause(otherwise);
             return;
         }
-        final long patienceMillis = mPlan.patienceMillis(elapsedMillis);
-        mPlan.offered(patienceMillis, elapsedMillis);
+        final long workMillis = mRouter.workMillis(mRoute, mHead.service());
+        final boolean lastResort = mPlan.isLastResort(elapsedMillis, workMillis);
+        final long patienceMillis = mPlan.patienceMillis(elapsedMillis, workMillis);
+        mPlan.offered(lastResort);
         trail(target.get().candidate().host() + "+" + patienceMillis);
         final String callId = mRouter.nextCallId();
         final Attempt next = new Attempt(target.get(), callId);
@@ -109,7 +126,8 @@
                                         remainingMillis,
                                         mPlan.runs() + 1,
                                         elapsedMillis,
-                                        patienceMillis),
+                                        patienceMillis,
+                                        lastResort),
                                 next);
     }
 
@@ -151,6 +169,12 @@
         }
     }
 
+    /** A target has seen the call; a further one needs a new grant. */
+    private void seen(final String host) {
+        mPlan.seen(host);
+        mRetryGranted = false;
+    }
+
     private long elapsedMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
     }
@@ -289,7 +313,7 @@
 
         @Override
         public void onAdmitted(final TargetLoad load) {
-            mRouter.told(mTarget, load);
+            mRouter.told(mTarget, mRoute.id(), load);
             inOrder(
                     () -> {
                         if (!mClosed) {
@@ -300,7 +324,7 @@
 
         @Override
         public void onRefused(final Refusal refusal, final TargetLoad load) {
-            mRouter.told(mTarget, load);
+            mRouter.told(mTarget, mRoute.id(), load);
             inOrder(
                     () -> {
                         if (close()) {
@@ -316,7 +340,7 @@
                         if (mClosed) {
                             return;
                         }
-                        mSwallowing = isRetryable(head);
+                        mSwallowing = isRetryable(head, mTarget.candidate().host());
                         if (!mSwallowing) {
                             mHeadSeen = true;
                             mSink.onHead(head);
@@ -341,7 +365,7 @@
 
         @Override
         public void onEnd(final TargetLoad load) {
-            mRouter.told(mTarget, load);
+            mRouter.told(mTarget, mRoute.id(), load);
             inOrder(
                     () -> {
                         if (!close()) {
@@ -349,6 +373,7 @@
                         }
                         mPlan.seen(mTarget.candidate().host());
                         if (mSwallowing) {
+                            trail("answer-dropped");
                             attempt(Refusal.of(ErrorCode.TARGET_REFUSED));
                         } else if (over("answered")) {
                             mSink.onEnd(load);
@@ -379,13 +404,27 @@
 
     // -- decisions
 
-    /** Returns whether an answer says that its target did not run the call, and another may. */
-    private boolean isRetryable(final AnswerHead head) {
-        return head.notRun()
-                && !mOver
-                && !mBodySent
-                && !mHead.isKeyed()
-                && mPlan.runs() + 1 < mRoute.attempts();
+    /**
+     * Returns whether an answer is dropped and the call sent to another target: the target says
+     * that it did not run the call, or it failed a call that may run again.
+     */
+    private boolean isRetryable(final AnswerHead head, final String host) {
+        final boolean failed = head.status() >= SERVER_ERROR && mHead.idempotent();
+        if (mOver || mBodySent || mHead.isKeyed() || !(head.notRun() || failed)) {
+            return false;
+        }
+        final Set<String> excluded = new HashSet<>(mPlan.excluded());
+        excluded.add(host);
+        final long leftMillis = mHead.timeoutMillis() - elapsedMillis();
+        final boolean hasTime = leftMillis > mHead.timeoutMillis() / LEAST_RETRY_PART;
+        if (!hasTime
+                || mPlan.runs() + 1 >= mRoute.attempts()
+                || !mRouter.hasOther(mRoute, mHead.service(), excluded)
+                || !mRouter.mayRetry(mHead.service())) {
+            return false;
+        }
+        mRetryGranted = true;
+        return true;
     }
 
     private void afterRefusal(final Attempt attempt, final Refusal refusal) {
@@ -424,13 +463,13 @@
             return;
         }
         if (code == ErrorCode.LINK_LOST) {
-            mRouter.told(attempt.mTarget, TargetLoad.ABSENT);
+            mRouter.told(attempt.mTarget, mRoute.id(), TargetLoad.ABSENT);
         }
         trail(code.wireName() + "/" + phase);
         if (phase.isNotRun()) {
             mPlan.refused(attempt.mTarget.candidate().host());
         } else {
-            mPlan.seen(attempt.mTarget.candidate().host());
+            seen(attempt.mTarget.candidate().host());
         }
         final boolean isResolvable = code == ErrorCode.LINK_LOST && !mHead.idempotent();
         mMayHaveRun |= !phase.isNotRun() && !isResolvable;
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -16,7 +16,9 @@
 import io.bilberrylane.peer.PeerMessage;
 import io.bilberrylane.policy.CallNeed;
 import io.bilberrylane.policy.Candidate;
+import io.bilberrylane.policy.FleetBounds;
 import io.bilberrylane.policy.LoadTable;
+import io.bilberrylane.policy.RetryBudget;
 import io.bilberrylane.policy.TargetLoad;
 import io.bilberrylane.policy.TargetSelector;
 import io.netty.util.concurrent.EventExecutor;
@@ -29,6 +31,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Chooses targets for the calls of one ingress and opens the calls at their gates. */
 public final class Router implements CallRouter {
@@ -44,6 +47,8 @@
     private final TargetSelector mSelector;
     private final AtomicLong mNextCall = new AtomicLong();
     private final AtomicInteger mCallsInProgress = new AtomicInteger();
+    private final RetryBudget mRetries = RetryBudget.create();
+    private final Supplier<FleetBounds> mBounds;
     private final Map<String, String> mRegions;
     private final String mCallPrefix;
 
@@ -56,6 +61,7 @@
      * @param links the way to other gates
      * @param gate the gate of this node
      * @param regions the region of each data centre
+     * @param bounds what the whole fleet keeps within
      */
     public Router(
             final Identity identity,
@@ -63,7 +69,9 @@
             final MembershipService membership,
             final PeerLinks links,
             final Gate gate,
-            final Map<String, String> regions) {
+            final Map<String, String> regions,
+            final Supplier<FleetBounds> bounds) {
+        mBounds = bounds;
         mRegions = Map.copyOf(regions);
         mIdentity = identity;
         mConfiguration = configuration;
@@ -151,8 +159,46 @@
 
     // -- calls in progress
 
-    void callStarted() {
+    void callStarted(final String service) {
         mCallsInProgress.incrementAndGet();
+        mLock.run(() -> mRetries.called(service, mBounds.get(), System.nanoTime()));
+    }
+
+    /** Returns how long calls of a route usually take at a target, in milliseconds. */
+    long workMillis(final Route route, final String service) {
+        final List<TargetRef> targets = mMembership.targets(service);
+        return Math.round(
+                mLock.get(
+                                () ->
+                                        targets.stream()
+                                                .mapToLong(
+                                                        target ->
+                                                                mLoads.serviceMicros(
+                                                                        target.candidate().host(),
+                                                                        route.id()))
+                                                .filter(micros -> micros > 0)
+                                                .average()
+                                                .orElse(0))
+                        / 1_000);
+    }
+
+    /** Returns whether another target of a service admits calls. */
+    boolean hasOther(final Route route, final String service, final Collection<String> excluded) {
+        final Catalogue catalogue = mConfiguration.catalogue();
+        return mMembership.targets(service).stream()
+                .map(TargetRef::candidate)
+                .anyMatch(
+                        candidate ->
+                                !excluded.contains(candidate.host())
+                                        && catalogue.isInService(
+                                                candidate.host(), candidate.dataCentre())
+                                        && mayRunIn(route, candidate.dataCentre()));
+    }
+
+    /** Returns whether a call may be sent to a further target of its service. */
+    boolean mayRetry(final String service) {
+        final int ingresses = mMembership.presentCount();
+        return mLock.get(() -> mRetries.take(service, mBounds.get(), ingresses, System.nanoTime()));
     }
 
     void callEnded() {
@@ -170,8 +216,8 @@
 
     // -- feedback
 
-    void told(final TargetRef target, final TargetLoad load) {
-        mLock.run(() -> mLoads.told(target.candidate().host(), load, System.nanoTime()));
+    void told(final TargetRef target, final int route, final TargetLoad load) {
+        mLock.run(() -> mLoads.told(target.candidate().host(), route, load, System.nanoTime()));
     }
 
     void done(final TargetRef target) {
--- a/src/main/java/io/bilberrylane/peer/CallHead.java
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -20,8 +20,8 @@
  * @param priority the place in queues; 0 goes first
  * @param objectiveMillis time that remains until an answer is late, in milliseconds
  * @param route calls of one route take about the same work
- * @param patienceMillis how long the call may wait at this gate, in milliseconds; all of its time
- *     when it has nowhere else to go
+ * @param patienceMillis how long the call may wait at this gate, in milliseconds
+ * @param lastResort whether it has nowhere else to go, so that it may run late
  */
 public record CallHead(
         String callId,
@@ -38,7 +38,8 @@
         int priority,
         long objectiveMillis,
         int route,
-        long patienceMillis) {
+        long patienceMillis,
+        boolean lastResort) {
     /** Checks the parts and copies the headers. */
     public CallHead {
         Objects.requireNonNull(callId, "callId is null");
@@ -76,6 +77,7 @@
      * @param newAttempt the number of the attempt
      * @param elapsedMillis time since the call came, in milliseconds
      * @param newPatienceMillis how long it may wait at the gate, in milliseconds
+     * @param newLastResort whether it has nowhere else to go
      * @return a changed copy
      */
     public CallHead forAttempt(
@@ -83,7 +85,8 @@
             final long remainingMillis,
             final int newAttempt,
             final long elapsedMillis,
-            final long newPatienceMillis) {
+            final long newPatienceMillis,
+            final boolean newLastResort) {
         return new CallHead(
                 newCallId,
                 service,
@@ -99,6 +102,7 @@
                 priority,
                 objectiveMillis - elapsedMillis,
                 route,
-                newPatienceMillis);
+                newPatienceMillis,
+                newLastResort);
     }
 }
--- a/src/main/java/io/bilberrylane/peer/PeerCodec.java
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -80,7 +80,7 @@
     }
 
     private static byte[] encodeOpen(final int streamId, final CallHead head) {
-        return FieldWriter.of(MessageType.OPEN, 16)
+        return FieldWriter.of(MessageType.OPEN, 17)
                 .integer(1, streamId)
                 .text(2, head.callId())
                 .text(3, head.service())
@@ -97,6 +97,7 @@
                 .integer(14, head.objectiveMillis())
                 .integer(15, head.route())
                 .integer(16, head.patienceMillis())
+                .flag(17, head.lastResort())
                 .toBytes();
     }
 
@@ -254,6 +255,7 @@
                 fields.smallInteger(13),
                 fields.integer(14),
                 fields.smallInteger(15),
-                fields.integer(16));
+                fields.integer(16),
+                fields.flag(17));
     }
 }
--- a/src/main/java/io/bilberrylane/policy/CallNeed.java
+++ b/src/main/java/io/bilberrylane/policy/CallNeed.java
@@ -3,11 +3,12 @@
 /**
  * What matters of a call for the choice of its target.
  *
+ * @param route its route
  * @param objectiveMicros the time within which an answer is of full use, in microseconds
  * @param staysNear whether its body is too large to leave the data centre while a target there
  *     admits calls
  */
-public record CallNeed(double objectiveMicros, boolean staysNear) {
+public record CallNeed(int route, double objectiveMicros, boolean staysNear) {
     /** A call without an objective and with a short body. */
-    public static final CallNeed NONE = new CallNeed(0, false);
+    public static final CallNeed NONE = new CallNeed(0, 0, false);
 }
--- a/src/main/java/io/bilberrylane/policy/CallPlan.java
+++ b/src/main/java/io/bilberrylane/policy/CallPlan.java
@@ -11,6 +11,10 @@
 public final class CallPlan {
     private static final long FIRST_PATIENCE_MILLIS = 12;
     private static final long LATER_PATIENCE_MILLIS = 40;
+
+    /** How long a late call waits at its last gate, as a part of its objective. */
+    private static final double LATE_PART = 0.3;
+
     private static final int MAX_OFFERS = 40;
 
     private final long mTimeoutMillis;
@@ -95,28 +99,39 @@
      * Returns how long the next gate may let the call wait.
      *
      * @param elapsedMillis time since the call came, in milliseconds
-     * @return milliseconds; all the time that is left when the objective is past
+     * @param workMillis how long the call usually takes at a target, in milliseconds
+     * @return milliseconds
      */
-    public long patienceMillis(final long elapsedMillis) {
+    public long patienceMillis(final long elapsedMillis, final long workMillis) {
         final long leftMillis = mTimeoutMillis - elapsedMillis;
-        if (elapsedMillis >= mObjectiveMillis || mOffers >= MAX_OFFERS - 1) {
-            return leftMillis;
+        if (isLastResort(elapsedMillis, workMillis)) {
+            return Math.min(leftMillis, Math.round(mObjectiveMillis * LATE_PART));
         }
         final long patience = mRound == 0 ? FIRST_PATIENCE_MILLIS : LATER_PATIENCE_MILLIS;
         return Math.min(leftMillis, patience);
     }
 
+    /**
+     * Returns whether the next gate is the last to be asked: the objective is out of reach.
+     *
+     * @param elapsedMillis time since the call came, in milliseconds
+     * @param workMillis how long the call usually takes at a target, in milliseconds
+     * @return true when the gate may run it late
+     */
+    public boolean isLastResort(final long elapsedMillis, final long workMillis) {
+        return elapsedMillis + workMillis >= mObjectiveMillis || mOffers >= MAX_OFFERS - 1;
+    }
+
     // -- events
 
     /**
      * The call is offered to a gate.
      *
-     * @param patienceMillis how long it may wait there, in milliseconds
-     * @param elapsedMillis time since the call came, in milliseconds
+     * @param lastResort whether the gate is the last to be asked
      */
-    public void offered(final long patienceMillis, final long elapsedMillis) {
+    public void offered(final boolean lastResort) {
         mOffers++;
-        mLastResortSpent = patienceMillis >= mTimeoutMillis - elapsedMillis;
+        mLastResortSpent = lastResort;
     }
 
     /**
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -79,11 +79,25 @@
      * @return a snapshot
      */
     public TargetLoad load() {
+        return load(mWork.meanNanos());
+    }
+
+    /**
+     * Returns the load now as it matters to calls of one route.
+     *
+     * @param route the route
+     * @return a snapshot with the time of such a call in service
+     */
+    public TargetLoad load(final int route) {
+        return load(mWork.expectedNanos(route, 1));
+    }
+
+    private TargetLoad load(final double serviceNanos) {
         return new TargetLoad(
                 mInService.size(),
                 mWaiting.size(),
                 allowance(),
-                Math.round(mWork.meanNanos() / 1_000),
+                Math.round(serviceNanos / 1_000),
                 mAccepting,
                 mSpeed.percent(),
                 (int) Math.round(mFailurePart * 100));
--- a/src/main/java/io/bilberrylane/policy/LoadTable.java
+++ b/src/main/java/io/bilberrylane/policy/LoadTable.java
@@ -14,8 +14,11 @@
         private long mToldNanos;
         private int mOutstanding;
         private int mOutstandingWhenTold;
+        private final Map<Integer, Long> mServiceMicros = new HashMap<>();
     }
 
+    private static final int MAX_ROUTES = 1_024;
+
     private final Map<String, Entry> mEntries = new HashMap<>();
 
     private LoadTable() {}
@@ -52,14 +55,22 @@
     }
 
     /**
-     * A target's gate told its load.
+     * A target's gate told its load, in an answer to a call.
      *
      * @param host the target's host
+     * @param route the route of the call
      * @param load the load
      * @param nowNanos the monotonic clock
      */
-    public void told(final String host, final TargetLoad load, final long nowNanos) {
+    public void told(
+            final String host, final int route, final TargetLoad load, final long nowNanos) {
         final Entry entry = entry(host);
+        if (load.serviceMicros() > 0) {
+            if (entry.mServiceMicros.size() >= MAX_ROUTES) {
+                entry.mServiceMicros.clear();
+            }
+            entry.mServiceMicros.put(route, load.serviceMicros());
+        }
         entry.mLoad = load;
         entry.mToldNanos = nowNanos;
         entry.mOutstandingWhenTold = entry.mOutstanding;
@@ -112,6 +123,18 @@
         return entry == null || entry.mLoad == null ? Long.MAX_VALUE : nowNanos - entry.mToldNanos;
     }
 
+    /**
+     * Returns how long a call of a route takes at a target.
+     *
+     * @param host the target's host
+     * @param route the route
+     * @return microseconds at normal speed, as the target's gate told; 0 when it never did
+     */
+    public long serviceMicros(final String host, final int route) {
+        final Entry entry = mEntries.get(host);
+        return entry == null ? 0 : entry.mServiceMicros.getOrDefault(route, 0L);
+    }
+
     /**
      * Returns the last told speed of a target.
      *
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -89,13 +89,23 @@
                 (isNear ? near : far).add(candidate);
             }
         }
-        Candidate best = best(near, near.size(), null, need, nowNanos);
+        final double usual = usualMicros(candidates, need);
+        Candidate best = best(near, near.size(), null, need, usual, nowNanos);
         if (!(need.staysNear() && nearAccepts)) {
-            best = best(far, DRAWN, best, need, nowNanos);
+            best = best(far, DRAWN, best, need, usual, nowNanos);
         }
         return Optional.ofNullable(best);
     }
 
+    /** Returns the mean time that targets tell for calls of this route. */
+    private double usualMicros(final List<Candidate> candidates, final CallNeed need) {
+        return candidates.stream()
+                .mapToLong(candidate -> mLoads.serviceMicros(candidate.host(), need.route()))
+                .filter(micros -> micros > 0)
+                .average()
+                .orElse(DEFAULT_SERVICE_MICROS);
+    }
+
     /**
      * Returns the expected time until a call at a target would be answered.
      *
@@ -105,6 +115,14 @@
      * @return microseconds
      */
     public double costMicros(final Candidate candidate, final CallNeed need, final long nowNanos) {
+        return costMicros(candidate, need, DEFAULT_SERVICE_MICROS, nowNanos);
+    }
+
+    private double costMicros(
+            final Candidate candidate,
+            final CallNeed need,
+            final double usualMicros,
+            final long nowNanos) {
         final double travel =
                 candidate.dataCentre().equals(mDataCentre)
                         ? 0
@@ -114,10 +132,11 @@
         final Optional<TargetLoad> load = mLoads.estimate(candidate.host());
         if (load.isEmpty()) {
             final int outstanding = mLoads.outstanding(candidate.host());
-            return travel + DEFAULT_SERVICE_MICROS * (1.0 + outstanding);
+            return travel + usualMicros * (1.0 + outstanding);
         }
         final TargetLoad known = load.get();
-        final double service = Math.max(1, known.serviceMicros()) * speed(candidate, nowNanos);
+        final long told = mLoads.serviceMicros(candidate.host(), need.route());
+        final double service = (told > 0 ? told : usualMicros) * speed(candidate, nowNanos);
         final double allowance = Math.max(1, known.allowance());
         final double ahead = Math.max(0, known.inFlight() + known.queued() + 1 - allowance);
         final double crowd = 0.1 * known.inFlight() / allowance;
@@ -143,14 +162,17 @@
             final int draws,
             final Candidate first,
             final CallNeed need,
+            final double usualMicros,
             final long nowNanos) {
         Candidate best = first;
-        double least = best == null ? Double.MAX_VALUE : costMicros(best, need, nowNanos);
+        double least =
+                best == null ? Double.MAX_VALUE : costMicros(best, need, usualMicros, nowNanos);
         for (int i = 0; i < Math.min(draws, from.size()); i++) {
             final Candidate drawn =
                     from.size() <= draws ? from.get(i) : from.get(mRandom.nextInt(from.size()));
             final double cost =
-                    costMicros(drawn, need, nowNanos) * (1 + JITTER * mRandom.nextDouble());
+                    costMicros(drawn, need, usualMicros, nowNanos)
+                            * (1 + JITTER * mRandom.nextDouble());
             if (best == null || cost < least) {
                 best = drawn;
                 least = cost;
--- a/src/main/java/io/bilberrylane/policy/WorkEstimates.java
+++ b/src/main/java/io/bilberrylane/policy/WorkEstimates.java
@@ -8,7 +8,7 @@
  * thread-safe.
  */
 public final class WorkEstimates {
-    private static final double WORK_WEIGHT = 0.1;
+    private static final double WORK_WEIGHT = 0.2;
     private static final double CROWD_WEIGHT = 0.15;
     private static final int CROWD_SAMPLES = 6;
     private static final int MAX_ROUTES = 1_024;
--- a/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
+++ b/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
@@ -55,7 +55,8 @@
                                                 attempt,
                                                 millis,
                                                 attempt,
-                                                millis));
+                                                millis,
+                                                flag));
         final Arbitrary<ConfigurationVersion> versions =
                 Combinators.combine(large, large).as(ConfigurationVersion::new);
         final Arbitrary<Member> members =
--- a/src/test/java/io/bilberrylane/policy/TargetSelectorTest.java
+++ b/src/test/java/io/bilberrylane/policy/TargetSelectorTest.java
@@ -27,22 +27,22 @@
 
     @Test
     void shouldChooseTheTargetAgainWhenItsRefusalIsOld() {
-        mLoads.told("near", load(0, false), 0);
+        mLoads.told("near", 0, load(0, false), 0);
         assertThat(choose(List.of(mNear), Set.of(), SECOND / 2)).isEmpty();
         assertThat(choose(List.of(mNear), Set.of(), 2 * SECOND)).contains(mNear);
     }
 
     @Test
     void shouldStayNearWhenBothAreIdle() {
-        mLoads.told("near", load(0, true), 0);
-        mLoads.told("far", load(0, true), 0);
+        mLoads.told("near", 0, load(0, true), 0);
+        mLoads.told("far", 0, load(0, true), 0);
         assertThat(choose(List.of(mNear, mFar), Set.of(), 0)).contains(mNear);
     }
 
     @Test
     void shouldGoFarWhenTheWaitNearIsLonger() {
-        mLoads.told("near", load(30, true), 0);
-        mLoads.told("far", load(0, true), 0);
+        mLoads.told("near", 0, load(30, true), 0);
+        mLoads.told("far", 0, load(0, true), 0);
         for (int i = 0; i < 20; i++) {
             choose(List.of(mNear, mFar), Set.of(), 0);
         }
@@ -54,8 +54,8 @@
     @Test
     void shouldAvoidASlowTargetOnlyWhileTheNewsIsFresh() {
         final Candidate other = new Candidate("other", "dc", 6);
-        mLoads.told("near", new TargetLoad(0, 0, 6, 3_000, true, 700, 0), 0);
-        mLoads.told("other", load(4, true), 0);
+        mLoads.told("near", 0, new TargetLoad(0, 0, 6, 3_000, true, 700, 0), 0);
+        mLoads.told("other", 0, load(4, true), 0);
         assertThat(choose(List.of(mNear, other), Set.of(), SECOND / 10)).contains(other);
         assertThat(mSelector.costMicros(mNear, CallNeed.NONE, 3 * SECOND))
                 .isLessThan(mSelector.costMicros(other, CallNeed.NONE, 3 * SECOND));
@@ -63,18 +63,18 @@
 
     @Test
     void shouldStayInTheDataCentreWhenTheBodyIsLong() {
-        mLoads.told("near", new TargetLoad(6, 9, 6, 3_000, true, 700, 0), 0);
-        mLoads.told("far", load(0, true), 0);
-        final CallNeed upload = new CallNeed(100_000, true);
+        mLoads.told("near", 0, new TargetLoad(6, 9, 6, 3_000, true, 700, 0), 0);
+        mLoads.told("far", 0, load(0, true), 0);
+        final CallNeed upload = new CallNeed(0, 100_000, true);
         assertThat(mSelector.choose(List.of(mNear, mFar), Set.of(), upload, 0)).contains(mNear);
         assertThat(mSelector.choose(List.of(mNear, mFar), Set.of("near"), upload, 0)).isEmpty();
-        mLoads.told("near", load(0, false), 0);
+        mLoads.told("near", 0, load(0, false), 0);
         assertThat(mSelector.choose(List.of(mNear, mFar), Set.of(), upload, 0)).contains(mFar);
     }
 
     @Test
     void shouldCountCallsSentWhenTheLoadWasToldBefore() {
-        mLoads.told("near", load(1, true), 0);
+        mLoads.told("near", 0, load(1, true), 0);
         mLoads.sent("near");
         mLoads.sent("near");
         assertThat(mLoads.estimate("near").orElseThrow().inFlight()).isEqualTo(3);
