Ask near gates first, without patience in the first round

Now the news fades in 60 ms, a gate in the first round answers as soon as it knows its worker's speed, later rounds queue by deadline, and late calls leave a part of the slots free.

--- a/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
+++ b/src/main/java/io/bilberrylane/capacity/SlopeMeasurement.java
@@ -12,6 +12,7 @@
 import io.bilberrylane.policy.Candidate;
 import io.bilberrylane.policy.GateAdmission;
 import io.bilberrylane.policy.LoadTable;
+import io.bilberrylane.policy.Patience;
 import io.bilberrylane.policy.TargetLoad;
 import io.bilberrylane.policy.TargetSelector;
 import io.bilberrylane.policy.Ticket;
@@ -101,7 +102,7 @@
                         i -> {
                             final String id = "host-1-m8r2x1-" + i;
                             calls.reserve(id, i);
-                            admission.offer(new Ticket(id, 0, 0, END, END, END, false), i);
+                            admission.offer(new Ticket(id, 0, 0, END, END, END, Patience.SOME), i);
                             calls.start(id, i);
                             calls.finish(id, i);
                             admission.release(id, true, 3_000_000, i);
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -25,6 +25,7 @@
 import io.bilberrylane.platform.ObjectStore;
 import io.bilberrylane.policy.AdmissionDecision;
 import io.bilberrylane.policy.GateAdmission;
+import io.bilberrylane.policy.Patience;
 import io.bilberrylane.policy.Settled;
 import io.bilberrylane.policy.TargetLoad;
 import io.bilberrylane.policy.Ticket;
@@ -50,6 +51,9 @@
     /** A call with less time left is refused rather than begun. */
     private static final long LAST_START_MILLIS = 15;
 
+    /** How long a call waits for news of its target's speed. */
+    private static final long SPEED_NEWS_MILLIS = 40;
+
     private static final long MIN_LOOK_NANOS = 2_000_000L;
     private static final int REMEMBERED_DEPARTURES = 64;
 
@@ -399,7 +403,7 @@
                         now + TimeUnit.MILLISECONDS.toNanos(waitMillis),
                         now + TimeUnit.MILLISECONDS.toNanos(call.head().objectiveMillis()),
                         now + TimeUnit.MILLISECONDS.toNanos(call.head().timeoutMillis()),
-                        call.head().lastResort());
+                        patience(call.head()));
         final AdmissionDecision decision =
                 mAdmissionLock.get(
                         () -> {
@@ -450,8 +454,17 @@
                 call);
     }
 
+    private static Patience patience(final CallHead head) {
+        if (head.lastResort()) {
+            return Patience.LAST_RESORT;
+        }
+        return head.patienceMillis() == 0 ? Patience.NONE : Patience.SOME;
+    }
+
     private long waitMillis(final CallHead head, final Limits limits) {
-        final long most = Math.min(head.patienceMillis(), head.timeoutMillis() - LAST_START_MILLIS);
+        final long patienceMillis =
+                head.patienceMillis() == 0 ? SPEED_NEWS_MILLIS : head.patienceMillis();
+        final long most = Math.min(patienceMillis, head.timeoutMillis() - LAST_START_MILLIS);
         return names().callersNameRequests() ? most : Math.min(limits.queueMillis(), most);
     }
 
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -432,7 +432,7 @@
             return;
         }
         final String host = attempt.mTarget.candidate().host();
-        mPlan.refused(host);
+        mPlan.refused(host, refusal.code() == ErrorCode.OVERLOADED);
         trail(refusal.code().wireName());
         mKeyCertain =
                 switch (refusal.code()) {
@@ -467,7 +467,7 @@
         }
         trail(code.wireName() + "/" + phase);
         if (phase.isNotRun()) {
-            mPlan.refused(attempt.mTarget.candidate().host());
+            mPlan.refused(attempt.mTarget.candidate().host(), false);
         } else {
             seen(attempt.mTarget.candidate().host());
         }
--- a/src/main/java/io/bilberrylane/policy/CallPlan.java
+++ b/src/main/java/io/bilberrylane/policy/CallPlan.java
@@ -9,8 +9,10 @@
  * asked again. Not thread-safe.
  */
 public final class CallPlan {
-    private static final long FIRST_PATIENCE_MILLIS = 12;
-    private static final long LATER_PATIENCE_MILLIS = 40;
+    private static final long LEAST_PATIENCE_MILLIS = 12;
+
+    /** How long a call waits at one gate before it looks for a better one, of its objective. */
+    private static final double LATER_PART = 0.125;
 
     /** How long a late call waits at its last gate, as a part of its objective. */
     private static final double LATE_PART = 0.3;
@@ -25,6 +27,8 @@
     private int mRound;
     private int mOffers;
     private int mRuns;
+    private boolean mOverloadedInRound = true;
+    private boolean mOverloaded;
     private boolean mLastResortSpent;
 
     private CallPlan(final long timeoutMillis, final long objectiveMillis, final int maxRuns) {
@@ -65,7 +69,7 @@
      * @return false once it has been offered often enough
      */
     public boolean mayOffer() {
-        return mOffers < MAX_OFFERS && mRuns < mMaxRuns && !mLastResortSpent;
+        return mOffers < MAX_OFFERS && mRuns < mMaxRuns && !mLastResortSpent && !mOverloaded;
     }
 
     /**
@@ -100,15 +104,20 @@
      *
      * @param elapsedMillis time since the call came, in milliseconds
      * @param workMillis how long the call usually takes at a target, in milliseconds
-     * @return milliseconds
+     * @return milliseconds; 0 when the gate is to answer as soon as it knows its target's speed
      */
     public long patienceMillis(final long elapsedMillis, final long workMillis) {
         final long leftMillis = mTimeoutMillis - elapsedMillis;
         if (isLastResort(elapsedMillis, workMillis)) {
             return Math.min(leftMillis, Math.round(mObjectiveMillis * LATE_PART));
         }
-        final long patience = mRound == 0 ? FIRST_PATIENCE_MILLIS : LATER_PATIENCE_MILLIS;
-        return Math.min(leftMillis, patience);
+        if (mRound == 0) {
+            return 0;
+        }
+        final long feasibleMillis = mObjectiveMillis - elapsedMillis - workMillis;
+        final long patience =
+                Math.max(LEAST_PATIENCE_MILLIS, Math.round(mObjectiveMillis * LATER_PART));
+        return Math.max(1, Math.min(Math.min(leftMillis, feasibleMillis), patience));
     }
 
     /**
@@ -138,9 +147,11 @@
      * A gate has refused the call; its target has not seen it.
      *
      * @param host the gate's host
+     * @param overloaded whether too many calls wait there already
      */
-    public void refused(final String host) {
+    public void refused(final String host, final boolean overloaded) {
         mRefusedInRound.add(host);
+        mOverloadedInRound &= overloaded;
     }
 
     /**
@@ -151,18 +162,22 @@
     public void seen(final String host) {
         mRuns++;
         mLastResortSpent = false;
+        mOverloaded = false;
         mSeen.add(host);
     }
 
     /**
      * No gate is left in this round.
      *
-     * @return whether any gate has refused in it, so that another round makes sense
+     * @return whether another round makes sense: some gate has refused, and not all gates have more
+     *     calls waiting than they can serve in time
      */
     public boolean nextRound() {
-        mRound++;
         final boolean any = !mRefusedInRound.isEmpty();
+        mOverloaded = any && mRound > 0 && mOverloadedInRound;
+        mRound++;
         mRefusedInRound.clear();
-        return any;
+        mOverloadedInRound = true;
+        return any && !mOverloaded;
     }
 }
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -33,6 +33,15 @@
     /** A call with less time than this part of the usual work is not begun any more. */
     private static final double HOPELESS_PART = 0.6;
 
+    /** Late calls leave this part of the slots to calls that can still be in time. */
+    private static final double LATE_FILL = 0.7;
+
+    /** Slow runs hold a slot for long; they leave more than half of the slots to others. */
+    private static final double SLOW_FILL = 0.5;
+
+    /** A call whose queue time ends sooner is not looked at again before. */
+    private static final long LAST_LOOK_NANOS = 30_000_000L;
+
     private record Running(int route, int inService, int speedPercent) {}
 
     private final int mSlots;
@@ -235,6 +244,7 @@
             return new AdmissionDecision.Admitted();
         }
         if (ticket.queueEndNanos() - nowNanos <= 0
+                || isImpatient(ticket, nowNanos)
                 || mWaiting.size() >= mSlots * QUEUE_FACTOR
                 || !canStartInTime(ticket, nowNanos)) {
             return new AdmissionDecision.Refused(ErrorCode.OVERLOADED);
@@ -321,6 +331,9 @@
                 mWaiting.remove(ticket.callId());
                 enter(ticket, nowNanos);
                 admitted.add(ticket);
+            } else if (isImpatient(ticket, nowNanos)) {
+                mWaiting.remove(ticket.callId());
+                expired.add(ticket);
             }
         }
         return new Settled(admitted, expired);
@@ -365,17 +378,26 @@
         }
         final double normal = mWork.expectedNanos(ticket.route(), mInService.size() + 1);
         final double now = normal * mSpeed.percent() / TargetLoad.NORMAL_SPEED;
-        if (nowNanos + (long) now - ticket.objectiveNanos() <= 0 || !mSpeed.isSlow()) {
+        if (nowNanos + (long) now - ticket.objectiveNanos() <= 0) {
             return true;
         }
-        return ticket.lastResort() && isLastChance(ticket, now, nowNanos);
+        if (isLate(ticket, nowNanos) && mInService.size() >= allowance() * LATE_FILL) {
+            return false;
+        }
+        return !mSpeed.isSlow() || ticket.patience() == Patience.LAST_RESORT && isLastChance(ticket, now, nowNanos);
     }
 
-    /** Returns whether a slow target must begin now to end before the deadline, and still can. */
-    private static boolean isLastChance(
+    /**
+     * Returns whether a slow target should begin now: the call has waited for a faster one as long
+     * as it may, can still end before its deadline, and leaves most slots to others.
+     */
+    private boolean isLastChance(
             final Ticket ticket, final double expectedNanos, final long nowNanos) {
         final double leftNanos = ticket.deadlineNanos() - nowNanos;
-        return expectedNanos <= leftNanos && leftNanos <= expectedNanos * 1.4;
+        final boolean queueEnds = ticket.queueEndNanos() - nowNanos <= LAST_LOOK_NANOS;
+        return queueEnds
+                && expectedNanos <= leftNanos
+                && mInService.size() < allowance() * SLOW_FILL;
     }
 
     private void enter(final Ticket ticket, final long nowNanos) {
@@ -396,6 +418,12 @@
                 .thenComparingLong(ticket -> ticket.objectiveNanos() - nowNanos);
     }
 
+    /** Returns whether a call goes elsewhere rather than wait for anything but news of the speed. */
+    private boolean isImpatient(final Ticket ticket, final long nowNanos) {
+        return ticket.patience() == Patience.NONE
+                && !(hasRoom(nowNanos) && mSpeed.isStale(nowNanos));
+    }
+
     /** Returns whether a call can no longer end before its deadline, even at normal speed. */
     private boolean isHopeless(final Ticket ticket, final long nowNanos) {
         final double least = mWork.expectedNanos(ticket.route(), 1) * HOPELESS_PART;
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -31,7 +31,7 @@
     static final long REFUSAL_TRUST_NANOS = 1_000_000_000L;
 
     /** How fast news of a target's speed loses its worth, in nanoseconds. */
-    static final double SPEED_FADE_NANOS = 300e6;
+    static final double SPEED_FADE_NANOS = 60e6;
 
     /** Costs that differ by less are as good as equal, as a part. */
     private static final double JITTER = 0.05;
--- a/src/main/java/io/bilberrylane/policy/Ticket.java
+++ b/src/main/java/io/bilberrylane/policy/Ticket.java
@@ -11,7 +11,7 @@
  * @param queueEndNanos when it must leave the queue
  * @param objectiveNanos until when its answer is of full use
  * @param deadlineNanos until when its answer is of any use
- * @param lastResort whether it has no other gate to go to
+ * @param patience how it waits
  */
 public record Ticket(
         String callId,
@@ -20,9 +20,10 @@
         long queueEndNanos,
         long objectiveNanos,
         long deadlineNanos,
-        boolean lastResort) {
+        Patience patience) {
     /** Checks that the call has an identity. */
     public Ticket {
         Objects.requireNonNull(callId, "callId is null");
+        Objects.requireNonNull(patience, "patience is null");
     }
 }
