Count old loads and few failures little in the choice of a target

Cause: half of the calls left their zone although their own workers were idle: loads were trusted however old, a few calls that workers had failed themselves made a gate look 1.8 times slower, and noise of the work estimate was larger than the way to the next zone.

--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -25,7 +25,7 @@
     static final long REMOTE_ROUND_TRIP_MICROS = 2_000;
 
     /** What another data centre must be better by, as a part of the call's objective. */
-    static final double REMOTE_OBJECTIVE_PART = 0.08;
+    static final double REMOTE_OBJECTIVE_PART = 0.15;
 
     /** A gate that admitted nothing is left alone for this long, in nanoseconds. */
     static final long REFUSAL_TRUST_NANOS = 1_000_000_000L;
@@ -33,6 +33,20 @@
     /** How fast news of a target's speed loses its worth, in nanoseconds. */
     static final double SPEED_FADE_NANOS = 60e6;
 
+    /** A target whose calls take less than this many times the usual is as good as the others. */
+    private static final double UNUSUAL_FACTOR = 1.6;
+
+    /** How fast news of a target's load loses its worth, in nanoseconds. */
+    private static final double LOAD_FADE_NANOS = 150e6;
+
+    /** What a full target costs more than an empty one, as a part of the service time. */
+    private static final double CROWD_COST = 0.1;
+
+    private static final double FAILURE_COST = 5;
+
+    /** Calls that a target makes itself fail now and then, whatever the target. */
+    private static final double USUAL_FAILURE_PERCENT = 20;
+
     /** Costs that differ by less are as good as equal, as a part. */
     private static final double JITTER = 0.05;
 
@@ -136,12 +150,21 @@
         }
         final TargetLoad known = load.get();
         final long told = mLoads.serviceMicros(candidate.host(), need.route());
-        final double service = (told > 0 ? told : usualMicros) * speed(candidate, nowNanos);
+        final boolean unusual = told > usualMicros * UNUSUAL_FACTOR;
+        final double service = (unusual ? told : usualMicros) * speed(candidate, nowNanos);
         final double allowance = Math.max(1, known.allowance());
-        final double ahead = Math.max(0, known.inFlight() + known.queued() + 1 - allowance);
-        final double crowd = 0.1 * known.inFlight() / allowance;
-        final double failures = 1 + 4 * Math.min(1, known.failurePercent() / 50.0);
-        return travel + service * (1 + crowd + ahead / allowance) * failures;
+        final double fresh =
+                Math.exp(-mLoads.ageNanos(candidate.host(), nowNanos) / LOAD_FADE_NANOS);
+        final double ahead =
+                Math.max(0, known.inFlight() + known.queued() + 1 - allowance) * fresh;
+        final double crowd = CROWD_COST * known.inFlight() / allowance * fresh;
+        return travel + service * (1 + crowd + ahead / allowance) * failureFactor(known);
+    }
+
+    /** Returns how much a target's failures make it look slower; a few failures make nothing. */
+    private static double failureFactor(final TargetLoad load) {
+        final double above = load.failurePercent() - USUAL_FAILURE_PERCENT;
+        return 1 + FAILURE_COST * Math.min(1, Math.max(0, above) / 50.0);
     }
 
     // -- choice
