Notice deaf watches; bound silent connections; table tests for the adapter

A waiting call may wait 28 s; a cheap stale read every 2.5 s shows whether the platform answers and whether the watch has missed a change, and starts it anew. Connections use short keep-alive probes.

--- a/src/main/java/io/bilberrylane/net/HttpCaller.java
+++ b/src/main/java/io/bilberrylane/net/HttpCaller.java
@@ -105,6 +105,7 @@
                     }
                 });
         expireLater(reply, future, timeoutMillis);
+        reply.whenComplete((answer, failure) -> future.channel().close());
         return reply;
     }
 
@@ -138,9 +139,7 @@
                 .schedule(
                         () -> {
                             final String message = "no answer in " + timeoutMillis + " ms";
-                            if (reply.completeExceptionally(new IOException(message))) {
-                                future.channel().close();
-                            }
+                            reply.completeExceptionally(new IOException(message));
                         },
                         timeoutMillis,
                         TimeUnit.MILLISECONDS);
@@ -160,7 +159,6 @@
                     new HttpReply(
                             response.status().code(),
                             response.content().toString(StandardCharsets.UTF_8)));
-            ctx.close();
         }
 
         @Override
@@ -171,7 +169,6 @@
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
             mReply.completeExceptionally(cause);
-            ctx.close();
         }
     }
 }
--- a/src/main/java/io/bilberrylane/net/Transport.java
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -2,11 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
@@ -20,6 +22,11 @@
 
 /** The pool of workers and the channel types that fit this machine. */
 public final class Transport implements AutoCloseable {
+    /** A connection whose other end answers nothing at all is closed after about this time. */
+    private static final int SILENCE_MILLIS = 2_500;
+
+    private static final int KEEP_ALIVE_SECONDS = 1;
+    private static final int KEEP_ALIVE_COUNT = 2;
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 2_000;
 
     private final EventLoopGroup mGroup;
@@ -93,9 +100,19 @@
      * @return without handlers
      */
     public Bootstrap clientBootstrap(final EventLoopGroup workers) {
-        return new Bootstrap()
-                .group(workers)
-                .channel(mEpoll ? EpollSocketChannel.class : NioSocketChannel.class);
+        final Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(workers)
+                        .channel(mEpoll ? EpollSocketChannel.class : NioSocketChannel.class)
+                        .option(ChannelOption.SO_KEEPALIVE, true);
+        if (mEpoll) {
+            bootstrap
+                    .option(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
+                    .option(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
+                    .option(EpollChannelOption.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
+                    .option(EpollChannelOption.TCP_USER_TIMEOUT, SILENCE_MILLIS);
+        }
+        return bootstrap;
     }
 
     /**
--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Watches the configuration in the platform while this node is one of a few that do, each in
@@ -135,6 +136,14 @@
             }
         }
 
+        @Override
+        public boolean differs(final List<StoredObject> objects) {
+            return objects.stream()
+                    .filter(object -> object.name().equals(mFormat.name()))
+                    .map(object -> mFormat.document(object.version(), object.spec()).revision())
+                    .anyMatch(revision -> revision > mConfiguration.version().catalogue());
+        }
+
         private void take(final StoredObject object) {
             if (!object.name().equals(mFormat.name())) {
                 return;
@@ -169,6 +178,12 @@
             }
         }
 
+        @Override
+        public boolean differs(final List<StoredObject> objects) {
+            return !mOutages.equals(
+                    objects.stream().map(StoredObject::name).collect(Collectors.toSet()));
+        }
+
         private void tell(final long version) {
             if (mConfiguration.offerOutages(version, mOutages)) {
                 mMembership.announceConfiguration();
--- a/src/main/java/io/bilberrylane/node/KindWatch.java
+++ b/src/main/java/io/bilberrylane/node/KindWatch.java
@@ -21,7 +21,11 @@
  */
 final class KindWatch {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final long WAIT_MILLIS = 12_000;
+    private static final long WAIT_MILLIS = 28_000;
+
+    /** How often a cheap read shows whether the platform still answers. */
+    private static final long CHECK_MILLIS = 2_500;
+
     private static final int MIN_PAUSE_MILLIS = 250;
     private static final int MAX_PAUSE_MILLIS = 2_000;
 
@@ -30,6 +34,9 @@
         void onList(long version, List<StoredObject> objects);
 
         void onEvents(long version, List<ObjectEvent> events);
+
+        /** Returns whether a list shows anything else than what was taken. */
+        boolean differs(List<StoredObject> objects);
     }
 
     private final EventLoop mLoop;
@@ -41,6 +48,8 @@
     private boolean mBusy;
     private long mVersion = -1;
     private int mFailures;
+    private boolean mMissed;
+    private int mCheck;
     private int mGeneration;
     private AutoCloseable mWatch;
 
@@ -65,6 +74,7 @@
                     mWanted = wanted;
                     if (wanted) {
                         step();
+                        checkLater();
                     } else {
                         endWatch();
                     }
@@ -75,6 +85,42 @@
         set(false);
     }
 
+    // -- checks
+
+    /**
+     * Notices a watch that will never tell anything: after an outage of the platform, or when a
+     * cheap read shows a change that the watch should have told.
+     */
+    private void checkLater() {
+        final int check = ++mCheck;
+        mLoop.schedule(() -> check(check), CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void check(final int check) {
+        if (!mWanted || check != mCheck) {
+            return;
+        }
+        mStore.listStale(mKind)
+                .whenComplete((list, failure) -> mLoop.execute(() -> onCheck(list, failure)));
+        checkLater();
+    }
+
+    private void onCheck(final ObjectList list, final Throwable failure) {
+        if (failure != null) {
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "the platform does not answer about %s: %s", mKind, failure.getMessage());
+            mMissed = true;
+            return;
+        }
+        final boolean isBehind = list.version() > mVersion && mTaker.differs(list.items());
+        if (mWatch != null && (mMissed || isBehind)) {
+            LOGGER.atInfo().log("watch of %s is started anew", mKind);
+            endWatch();
+            step();
+        }
+        mMissed = false;
+    }
+
     // -- steps
 
     private void step() {
--- a/src/main/java/io/bilberrylane/peer/CallHead.java
+++ b/src/main/java/io/bilberrylane/peer/CallHead.java
@@ -20,8 +20,8 @@
  * @param priority the place in queues; 0 goes first
  * @param objectiveMillis time that remains until an answer is late, in milliseconds
  * @param route calls of one route take about the same work
- * @param patienceMillis how long the call may wait at this gate, in milliseconds; 0 when the gate is
- *     to answer as soon as it knows its target's speed
+ * @param patienceMillis how long the call may wait at this gate, in milliseconds; 0 when the gate
+ *     is to answer as soon as it knows its target's speed
  * @param lastResort whether it has nowhere else to go, so that it may run late
  */
 public record CallHead(
--- a/src/main/java/io/bilberrylane/platform/PlatformClient.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformClient.java
@@ -15,7 +15,6 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Calls the platform's object API over HTTP, one connection for each call. */
 public final class PlatformClient implements ObjectStore {
@@ -101,38 +100,65 @@
             final long version,
             final long waitMillis,
             final WatchListener listener) {
-        final AtomicBoolean closed = new AtomicBoolean();
-        poll(kind, version, waitMillis, listener, closed);
-        return () -> closed.set(true);
-    }
+        final Poll poll = new Poll(kind, waitMillis, listener);
+        poll.next(version);
+        return poll::close;
+    }
+
+    /** One watch: waiting calls in a row, until one fails or the watch is closed. */
+    private final class Poll {
+        private final String mKind;
+        private final long mWaitMillis;
+        private final WatchListener mListener;
+        private CompletableFuture<HttpReply> mCall;
+        private boolean mClosed;
+
+        private Poll(final String kind, final long waitMillis, final WatchListener listener) {
+            mKind = kind;
+            mWaitMillis = waitMillis;
+            mListener = listener;
+        }
 
-    private void poll(
-            final String kind,
-            final long version,
-            final long waitMillis,
-            final WatchListener listener,
-            final AtomicBoolean closed) {
-        if (closed.get()) {
-            return;
+        private void next(final long version) {
+            final CompletableFuture<HttpReply> call = start(version);
+            if (call != null) {
+                call.handle(PlatformClient.this::text)
+                        .thenApply(text -> ObjectJson.readEvents(mKind, ObjectJson.parse(text)))
+                        .whenComplete((events, failure) -> onAnswer(version, events, failure));
+            }
+        }
+
+        private synchronized CompletableFuture<HttpReply> start(final long version) {
+            if (mClosed) {
+                return null;
+            }
+            mCounters.countRead();
+            final String uri = StoreCall.ofWatch(mKind, version, mWaitMillis).uri();
+            mCall = mCaller.call(address(), HttpMethod.GET, uri, "", mWaitMillis + mTimeoutMillis);
+            return mCall;
+        }
+
+        private void onAnswer(
+                final long version, final ObjectEvents events, final Throwable failure) {
+            if (isClosed()) {
+                return;
+            }
+            if (failure != null) {
+                mListener.onEnded(known(failure));
+                return;
+            }
+            mListener.onEvents(events);
+            next(Math.max(version, events.version()));
+        }
+
+        private synchronized boolean isClosed() {
+            return mClosed;
+        }
+
+        private synchronized void close() {
+            mClosed = true;
+            mCall.cancel(false);
         }
-        mCounters.countRead();
-        final StoreCall call = StoreCall.ofWatch(kind, version, waitMillis);
-        mCaller.call(address(), HttpMethod.GET, call.uri(), "", waitMillis + mTimeoutMillis)
-                .handle(this::text)
-                .thenApply(text -> ObjectJson.readEvents(kind, ObjectJson.parse(text)))
-                .whenComplete(
-                        (events, failure) -> {
-                            if (closed.get()) {
-                                return;
-                            }
-                            if (failure != null) {
-                                listener.onEnded(known(failure));
-                                return;
-                            }
-                            listener.onEvents(events);
-                            final long next = Math.max(version, events.version());
-                            poll(kind, next, waitMillis, listener, closed);
-                        });
     }
 
     // -- writes
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -384,7 +384,8 @@
         if (isLate(ticket, nowNanos) && mInService.size() >= allowance() * LATE_FILL) {
             return false;
         }
-        return !mSpeed.isSlow() || ticket.patience() == Patience.LAST_RESORT && isLastChance(ticket, now, nowNanos);
+        return !mSpeed.isSlow()
+                || ticket.patience() == Patience.LAST_RESORT && isLastChance(ticket, now, nowNanos);
     }
 
     /**
@@ -418,7 +419,9 @@
                 .thenComparingLong(ticket -> ticket.objectiveNanos() - nowNanos);
     }
 
-    /** Returns whether a call goes elsewhere rather than wait for anything but news of the speed. */
+    /**
+     * Returns whether a call goes elsewhere rather than wait for anything but news of the speed.
+     */
     private boolean isImpatient(final Ticket ticket, final long nowNanos) {
         return ticket.patience() == Patience.NONE
                 && !(hasRoom(nowNanos) && mSpeed.isStale(nowNanos));
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -155,8 +155,7 @@
         final double allowance = Math.max(1, known.allowance());
         final double fresh =
                 Math.exp(-mLoads.ageNanos(candidate.host(), nowNanos) / LOAD_FADE_NANOS);
-        final double ahead =
-                Math.max(0, known.inFlight() + known.queued() + 1 - allowance) * fresh;
+        final double ahead = Math.max(0, known.inFlight() + known.queued() + 1 - allowance) * fresh;
         final double crowd = CROWD_COST * known.inFlight() / allowance * fresh;
         return travel + service * (1 + crowd + ahead / allowance) * failureFactor(known);
     }
--- /dev/null
+++ b/src/test/java/io/bilberrylane/platform/HeartbeatEndpointTest.java
@@ -0,0 +1,122 @@
+package io.bilberrylane.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrylane.http.LocalAnswer;
+import io.bilberrylane.membership.TargetAnnouncement;
+import io.bilberrylane.membership.TargetRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class HeartbeatEndpointTest {
+    private static final String PATH = "/-/Instances.Heartbeat/i-1";
+    private static final String SOUND =
+            "{'address':'10.0.0.1:80','born':17,'info':{'service':'s','version':'v1',"
+                    + "'zone':'z','slots':6},'status':{'state':'ready','seqNo':4,"
+                    + "'coldRemainingS':1.5}}";
+
+    private final List<TargetAnnouncement> mAnnounced = new ArrayList<>();
+    private final List<String> mDeparted = new ArrayList<>();
+    private final HeartbeatEndpoint mEndpoint =
+            new HeartbeatEndpoint(
+                    new TargetRegistry() {
+                        @Override
+                        public void announce(final TargetAnnouncement announcement) {
+                            mAnnounced.add(announcement);
+                        }
+
+                        @Override
+                        public void depart(final String id) {
+                            mDeparted.add(id);
+                        }
+
+                        @Override
+                        public void withdraw() {
+                            throw new AssertionError("no worker withdraws");
+                        }
+                    },
+                    "10.0.0.1:80",
+                    1_500);
+
+    private LocalAnswer post(final String path, final String body) {
+        return mEndpoint.answer("POST", path, body.replace('\'', '"'));
+    }
+
+    @Nested
+    class Beats {
+        @Test
+        void shouldAnnounceTheWorkerWhenTheBeatIsSound() {
+            assertThat(post(PATH, SOUND).status()).isEqualTo(200);
+            final TargetAnnouncement announced = mAnnounced.get(0);
+            assertThat(announced.id()).isEqualTo("i-1");
+            assertThat(announced.service()).isEqualTo("s");
+            assertThat(announced.slots()).isEqualTo(6);
+            assertThat(announced.incarnation()).isEqualTo(17);
+            assertThat(announced.sequence()).isEqualTo(4);
+            assertThat(announced.coldMillis()).isEqualTo(1_500);
+            assertThat(announced.draining()).isFalse();
+        }
+
+        @Test
+        void shouldAnnounceDrainingWhenTheStateSaysSo() {
+            post(PATH, SOUND.replace("ready", "draining"));
+            assertThat(mAnnounced.get(0).draining()).isTrue();
+        }
+
+        @Test
+        void shouldIgnoreFieldsThatItDoesNotKnow() {
+            assertThat(post(PATH, SOUND.replace("'born'", "'more':[1],'born'")).status())
+                    .isEqualTo(200);
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    "{",
+                    "[]",
+                    "{}",
+                    "\u0000\u0001",
+                    "{'address':'10.0.0.1:80'}",
+                    "{'address':1,'born':17,'info':{'service':'s','slots':6},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':0}}",
+                    "{'address':'10.0.0.1:80','info':{'service':'s','slots':6},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':0}}",
+                    "{'address':'10.0.0.1:80','born':1.5,'info':{'service':'s','slots':6},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':0}}",
+                    "{'address':'10.0.0.1:80','born':17,'info':{'service':'s','slots':'6'},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':0}}",
+                    "{'address':'10.0.0.1:80','born':17,'info':{'service':'s','slots':0},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':0}}",
+                    "{'address':'10.0.0.1:80','born':17,'info':{'service':'s','slots':6},"
+                            + "'status':{'state':'resting','seqNo':4,'coldRemainingS':0}}",
+                    "{'address':'10.0.0.1:80','born':17,'info':{'service':'s','slots':6},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':'no'}}",
+                    "{'address':'10.9.9.9:80','born':17,'info':{'service':'s','slots':6},"
+                            + "'status':{'state':'ready','seqNo':4,'coldRemainingS':0}}",
+                })
+        void shouldRefuseAndAnnounceNothingWhenTheBeatIsOfAnotherWriter(final String body) {
+            assertThat(post(PATH, body).status()).isEqualTo(400);
+            assertThat(mAnnounced).isEmpty();
+        }
+    }
+
+    @Nested
+    class Calls {
+        @Test
+        void shouldTakeNoteWhenAWorkerLeaves() {
+            assertThat(post("/-/Instances.Leave/i-1", "").status()).isEqualTo(200);
+            assertThat(mDeparted).containsExactly("i-1");
+        }
+
+        @Test
+        void shouldRefuseWhenThePathOrMethodIsNotKnown() {
+            assertThat(post("/-/Instances.Other/i-1", "").status()).isEqualTo(404);
+            assertThat(mEndpoint.answer("GET", PATH, "").status()).isEqualTo(405);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/bilberrylane/platform/PlatformConfigurationFormatTest.java
@@ -0,0 +1,119 @@
+package io.bilberrylane.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.catalogue.CatalogueCheck;
+import io.bilberrylane.catalogue.Route;
+import io.bilberrylane.catalogue.RunRule;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class PlatformConfigurationFormatTest {
+    private static final String SERVICES =
+            "'services':[{'name':'a','healthPath':'/healthz','maxConnections':220,"
+                    + "'coldStartS':3.0,'coldPerS':7.1},{'name':'b'}],";
+    private static final String LIMITS =
+            "'limits':{'maxHeaderBytes':16384,'maxBodyBytes':1000,'headerTimeoutS':3,"
+                    + "'idleTimeoutS':1.5},";
+
+    private final PlatformConfigurationFormat mFormat = new PlatformConfigurationFormat();
+
+    private CatalogueCheck check(final String route) {
+        final String text =
+                "{'version':7,"
+                        + SERVICES
+                        + LIMITS
+                        + "'virtualHosts':[{'host':'H.example','paths':["
+                        + route
+                        + "]}]}";
+        return mFormat.check("test", text.replace('\'', '"'));
+    }
+
+    private static String route(final String rest) {
+        return "{'name':'r','pathPrefix':'/p/','type':'safe','timeoutS':1.5,"
+                + "'targetLatencyS':0.5,'priority':2,'attempts':2,"
+                + rest
+                + "}";
+    }
+
+    @Nested
+    class Sound {
+        @Test
+        void shouldReadTheRouteWithItsUnits() {
+            final Catalogue catalogue = check(route("'service':'a'")).orThrow();
+            final Route route = catalogue.route("h.EXAMPLE:80", "/p/x").orElseThrow();
+            assertThat(route.timeoutMillis()).isEqualTo(1_500);
+            assertThat(route.objectiveMillis()).isEqualTo(500);
+            assertThat(route.runRule()).isEqualTo(RunRule.REPEATABLE);
+            assertThat(route.attempts()).isEqualTo(2);
+            assertThat(route.serviceAt(0.99)).isEqualTo("a");
+            assertThat(catalogue.callerLimits().idleTimeoutMillis()).isEqualTo(1_500);
+            assertThat(catalogue.service("a").orElseThrow().targets().coldPerSecond())
+                    .isEqualTo(7.1);
+        }
+
+        @Test
+        void shouldChooseTheLongestPrefixWhenSeveralFit() {
+            final String longer = route("'service':'b'").replace("/p/", "/p/q/");
+            final Catalogue catalogue = check(route("'service':'a'") + "," + longer).orThrow();
+            assertThat(catalogue.route("h.example", "/p/q/x").orElseThrow().serviceAt(0))
+                    .isEqualTo("b");
+            assertThat(catalogue.route("h.example", "/p/z").orElseThrow().serviceAt(0))
+                    .isEqualTo("a");
+            assertThat(catalogue.route("h.example", "/q/")).isEmpty();
+            assertThat(catalogue.route("other.example", "/p/x")).isEmpty();
+        }
+
+        @Test
+        void shouldSplitByWeight() {
+            final Route route =
+                    check(
+                                    route(
+                                            "'trafficSplit':[{'service':'a','weight':90},"
+                                                    + "{'service':'b','weight':10}]"))
+                            .orThrow()
+                            .route("h.example", "/p/")
+                            .orElseThrow();
+            assertThat(route.serviceAt(0.89)).isEqualTo("a");
+            assertThat(route.serviceAt(0.91)).isEqualTo("b");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"unsafe", "upload"})
+        void shouldRunOnceWhenTheKindMayNotBeRepeated(final String kind) {
+            final Route route =
+                    check(route("'service':'a'").replace("'safe'", "'" + kind + "'"))
+                            .orThrow()
+                            .route("h.example", "/p/")
+                            .orElseThrow();
+            assertThat(route.runRule()).isEqualTo(RunRule.ONCE);
+        }
+    }
+
+    @Nested
+    class Findings {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "{'pathPrefix':'/p/','type':'odd','timeoutS':1,'service':'a'}",
+                    "{'pathPrefix':'/p/','type':'safe','service':'a'}",
+                    "{'type':'safe','timeoutS':1,'service':'a'}",
+                    "{'pathPrefix':'/p/','type':'safe','timeoutS':1}",
+                    "{'pathPrefix':'/p/','type':'safe','timeoutS':1,"
+                            + "'trafficSplit':[{'service':'a','weight':0}]}",
+                })
+        void shouldNameThePlaceWhenARouteIsWrong(final String route) {
+            final CatalogueCheck check = check(route);
+            assertThat(check.isValid()).isFalse();
+            assertThat(check.findings().get(0).line()).contains("virtualHosts[0] paths[0]");
+        }
+
+        @Test
+        void shouldFindUnreadableBytes() {
+            assertThat(mFormat.check("test", "{\u0000").isValid()).isFalse();
+        }
+    }
+}
--- a/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
+++ b/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
@@ -17,7 +17,8 @@
     private static final long MILLI = 1_000_000;
 
     private static Ticket ticket(final String id, final int rank, final long queueEndMillis) {
-        return new Ticket(id, rank, 0, queueEndMillis * MILLI, 500 * MILLI, 1_000 * MILLI, Patience.SOME);
+        return new Ticket(
+                id, rank, 0, queueEndMillis * MILLI, 500 * MILLI, 1_000 * MILLI, Patience.SOME);
     }
 
     @Group
@@ -128,7 +129,8 @@
         }
 
         private Ticket queued(final String id, final long objectiveMillis) {
-            return new Ticket(id, 0, 0, 900 * MILLI, objectiveMillis * MILLI, 1_000 * MILLI, Patience.SOME);
+            return new Ticket(
+                    id, 0, 0, 900 * MILLI, objectiveMillis * MILLI, 1_000 * MILLI, Patience.SOME);
         }
 
         @Example
@@ -186,8 +188,7 @@
         void shouldSendAnImpatientCallAwayOnceTheTargetIsKnownToBeSlow() {
             learnWorkOf100Millis();
             final Ticket call =
-                    new Ticket(
-                            "a", 0, 0, 300 * MILLI, 200 * MILLI, 1_000 * MILLI, Patience.NONE);
+                    new Ticket("a", 0, 0, 300 * MILLI, 200 * MILLI, 1_000 * MILLI, Patience.NONE);
             assertThat(mGate.offer(call, 0)).isInstanceOf(AdmissionDecision.Queued.class);
             mGate.noteSpeed(700, MILLI);
             assertThat(mGate.settle(MILLI).expired()).containsExactly(call);
@@ -215,7 +216,8 @@
             for (int i = 0; i < 100; i++) {
                 final long now = i * 9 * MILLI;
                 final Ticket ticket =
-                        new Ticket("c" + i, 0, 0, now + MILLI, now, now + 100 * MILLI, Patience.SOME);
+                        new Ticket(
+                                "c" + i, 0, 0, now + MILLI, now, now + 100 * MILLI, Patience.SOME);
                 if (gate.offer(ticket, now) instanceof AdmissionDecision.Admitted) {
                     admitted++;
                     gate.release(ticket.callId(), true, MILLI, now);
