Begin a call with a body only when its first byte is at the gate

Cause: a gate that froze or lost its link after a call with a body had been opened left doubt, although no byte of the body was sent, and a call waited for a silent gate until the link's 1.5 s were over.

Now the gate connects, admits, and begins at the worker with the first byte, so that the ingress can take the call back until then; a gate that says nothing 90 ms beyond the call's patience is left alone for a second, and repeatable calls go elsewhere within the budget.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -38,7 +38,12 @@
         return mChannel.eventLoop();
     }
 
-    boolean isOpen() {
+    /**
+     * Returns whether the connection is up.
+     *
+     * @return false once either end has closed it
+     */
+    public boolean isOpen() {
         return mChannel.isActive();
     }
 
@@ -95,6 +100,13 @@
         mChannel.read();
     }
 
+    /** Returns the connection unused. */
+    public void giveBack() {
+        if (isOpen()) {
+            mPool.release(this);
+        }
+    }
+
     /** Gives the exchange up and closes the connection, which tells the target. */
     public void abort() {
         mListener = null;
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -50,6 +50,7 @@
         REPLAYING,
         WAITING,
         CONNECTING,
+        ADMITTED,
         STARTED,
         OVER
     }
@@ -254,34 +255,53 @@
         refuseNow(ErrorCode.TARGET_UNREACHABLE);
     }
 
+    /**
+     * Takes a connection. A call with a body begins at its target only when its first byte is here,
+     * so that the ingress can take the call back until it has sent that byte.
+     */
     private void run(final TargetConnection connection) {
-        final boolean late = System.nanoTime() - mDeadlineNanos >= 0;
+        if (mCallerGone || System.nanoTime() - mDeadlineNanos >= 0) {
+            connection.giveBack();
+            giveSlotBack(true, -1);
+            refuseNow(mCallerGone ? ErrorCode.CANCELLED : ErrorCode.DEADLINE_EXCEEDED);
+            return;
+        }
+        mConnection = connection;
+        mState = State.ADMITTED;
+        mDeadline =
+                mLoop.schedule(
+                        this::onDeadline, mDeadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+        mSink.onAdmitted(mGate.load(mHead.route()));
+        if (!mHead.hasBody() || mBodyEnded || !mEarlyBody.isEmpty()) {
+            begin();
+        }
+    }
+
+    private void begin() {
+        if (mState != State.ADMITTED) {
+            return;
+        }
+        if (!mConnection.isOpen()) {
+            giveSlotBack(false, 0);
+            refuseNow(ErrorCode.TARGET_UNREACHABLE);
+            return;
+        }
         final boolean mayStart =
-                !mCallerGone
-                        && !late
-                        && mGate.markStarted(mHead.callId())
-                        && mKey.map(KeyedRun::start).orElse(true);
+                mGate.markStarted(mHead.callId()) && mKey.map(KeyedRun::start).orElse(true);
         if (!mayStart) {
-            connection.abort();
+            mConnection.giveBack();
             giveSlotBack(true, -1);
-            refuseNow(late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.CANCELLED);
+            refuseNow(ErrorCode.CANCELLED);
             return;
         }
         mState = State.STARTED;
-        mConnection = connection;
         mStartedNanos = System.nanoTime();
         mLoadAtStart = mGate.load(mHead.route());
-        mDeadline =
-                mLoop.schedule(
-                        this::onDeadline, mDeadlineNanos - mStartedNanos, TimeUnit.NANOSECONDS);
-        connection.send(request(), !mHead.hasBody(), this);
-        if (mHead.hasBody()) {
-            mSink.onAdmitted(mGate.load(mHead.route()));
-        }
-        mEarlyBody.forEach(connection::sendBody);
+        mConnection.send(request(), !mHead.hasBody(), this);
+        mEarlyBody.forEach(mConnection::sendBody);
         mEarlyBody.clear();
         if (mHead.hasBody() && mBodyEnded) {
-            connection.endBody();
+            mConnection.endBody();
         }
     }
 
@@ -321,6 +341,10 @@
                     switch (mState) {
                         case STARTED -> mConnection.sendBody(bytes);
                         case DECIDING, WAITING, CONNECTING -> mEarlyBody.add(bytes);
+                        case ADMITTED -> {
+                            mEarlyBody.add(bytes);
+                            begin();
+                        }
                         case REPLAYING -> skip(bytes);
                         case OVER -> bytes.release();
                     }
@@ -335,6 +359,7 @@
                     if (mState == State.STARTED) {
                         mConnection.endBody();
                     }
+                    begin();
                     replay();
                 });
     }
@@ -368,6 +393,11 @@
                     readAnswer();
                 }
             }
+            case ADMITTED -> {
+                mConnection.giveBack();
+                giveSlotBack(true, -1);
+                refuseNow(ErrorCode.CANCELLED);
+            }
             case DECIDING -> refuseNow(ErrorCode.CANCELLED);
             case REPLAYING -> over();
             case CONNECTING, OVER -> {}
@@ -491,7 +521,11 @@
     }
 
     private void onDeadline() {
-        if (mState == State.STARTED) {
+        if (mState == State.ADMITTED) {
+            mConnection.giveBack();
+            giveSlotBack(true, -1);
+            refuseNow(ErrorCode.DEADLINE_EXCEEDED);
+        } else if (mState == State.STARTED) {
             stop(false);
             if (!mCallerGone) {
                 mSink.onFailed(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -31,6 +31,9 @@
     private static final long PAUSE_MILLIS = 20;
     private static final int SERVER_ERROR = 500;
 
+    /** A gate that says nothing for so long beyond the call's patience is taken for silent. */
+    private static final long SILENCE_MILLIS = 90;
+
     /** A call with less than this part of its time left is not sent to another target. */
     private static final long LEAST_RETRY_PART = 5;
 
@@ -118,6 +121,7 @@
         final String callId = mRouter.nextCallId();
         final Attempt next = new Attempt(target.get(), callId);
         mAttempt = next;
+        next.watch(patienceMillis);
         next.mBody =
                 mRouter.opener(target.get())
                         .open(
@@ -251,6 +255,7 @@
     @Override
     public void end() {
         if (!mOver) {
+            mBodySent = true;
             mAttempt.mBody.end();
         }
     }
@@ -278,6 +283,8 @@
         private final String mCallId;
         private BodySink mBody;
         private boolean mClosed;
+        private boolean mHeard;
+        private ScheduledFuture<?> mSilence;
         private boolean mSwallowing;
         private int mDeferred;
 
@@ -291,6 +298,7 @@
                 return false;
             }
             mClosed = true;
+            mSilence.cancel(false);
             mRouter.done(mTarget);
             return true;
         }
@@ -311,11 +319,42 @@
             }
         }
 
+        /** Watches for a gate that says nothing, as one whose host stands still. */
+        private void watch(final long patienceMillis) {
+            mSilence =
+                    mExecutor.schedule(
+                            this::onSilence,
+                            patienceMillis + SILENCE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private void onSilence() {
+            if (mClosed || mHeard || mOver || mBody == null) {
+                return;
+            }
+            trail("silent");
+            final boolean mayHaveRun = !mHead.hasBody();
+            mRouter.silent(mTarget, mRoute.id());
+            if (mayHaveRun && !mHead.idempotent()) {
+                return;
+            }
+            close();
+            mBody.cancel();
+            if (mayHaveRun) {
+                seen(mTarget.candidate().host());
+                mMayHaveRun = true;
+            } else {
+                mPlan.refused(mTarget.candidate().host(), false);
+            }
+            attempt(Refusal.of(ErrorCode.LINK_LOST));
+        }
+
         @Override
         public void onAdmitted(final TargetLoad load) {
             mRouter.told(mTarget, mRoute.id(), load);
             inOrder(
                     () -> {
+                        mHeard = true;
                         if (!mClosed) {
                             mSink.onAdmitted(load);
                         }
@@ -458,12 +497,15 @@
         }
     }
 
-    private void afterFailure(final Attempt attempt, final ErrorCode code, final CallPhase phase) {
+    private void afterFailure(
+            final Attempt attempt, final ErrorCode code, final CallPhase toldPhase) {
         if (mOver) {
             return;
         }
+        final boolean neverBegan = code == ErrorCode.LINK_LOST && mHead.hasBody() && !mBodySent;
+        final CallPhase phase = neverBegan ? CallPhase.NEVER : toldPhase;
         if (code == ErrorCode.LINK_LOST) {
-            mRouter.told(attempt.mTarget, mRoute.id(), TargetLoad.ABSENT);
+            mRouter.silent(attempt.mTarget, mRoute.id());
         }
         trail(code.wireName() + "/" + phase);
         if (phase.isNotRun()) {
@@ -471,7 +513,8 @@
         } else {
             seen(attempt.mTarget.candidate().host());
         }
-        final boolean isResolvable = code == ErrorCode.LINK_LOST && !mHead.idempotent();
+        final boolean isResolvable =
+                code == ErrorCode.LINK_LOST && !mHead.idempotent() && !phase.isNotRun();
         mMayHaveRun |= !phase.isNotRun() && !isResolvable;
         final boolean unheard = !mBodySent && !mHeadSeen && mPlan.mayRunAgain();
         if (unheard && (mHead.idempotent() || phase.isNotRun())) {
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -224,6 +224,11 @@
         mLock.run(() -> mLoads.done(target.candidate().host()));
     }
 
+    /** A gate did not answer: it gets no call for a moment. */
+    void silent(final TargetRef target, final int route) {
+        told(target, route, TargetLoad.ABSENT);
+    }
+
     // -- doubt
 
     /** Asks a gate what became of a call; the call can no longer start there afterwards. */
