Quarantine calls that crash their targets, fleet-wide

Cause: a call that crashes each worker that runs it would be sent again by its caller to the next one. A gate that finds its worker gone tells all nodes the calls whose connections broke just before; a call beside three crashes is refused as not run for 20 s. Ruled out: a lower count, which would refuse neighbours of ordinary crashes.

--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/CrashWatch.java
@@ -0,0 +1,119 @@
+package io.bilberrylane.node;
+
+import com.google.common.hash.Hashing;
+import io.bilberrylane.base.DecisionLog;
+import io.bilberrylane.base.LockRank;
+import io.bilberrylane.base.RankedLock;
+import io.bilberrylane.membership.Member;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.HeaderField;
+import io.bilberrylane.peer.Identity;
+import io.bilberrylane.peer.PeerLinks;
+import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.policy.Quarantine;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Finds calls that crash their targets: those whose connections broke shortly before the target was
+ * found to be gone. Tells other nodes, so that the call is refused everywhere.
+ */
+final class CrashWatch {
+    private static final long SUSPICION_NANOS = 3_000_000_000L;
+    private static final long TELL_TIMEOUT_MILLIS = 1_000;
+    private static final int MAX_TOLD = 64;
+
+    private record Broken(long fingerprint, String process, long nanos) {}
+
+    private final Identity mIdentity;
+    private final MembershipService mMembership;
+    private final PeerLinks mLinks;
+    private final RankedLock mLock = RankedLock.of(LockRank.OUTCOME);
+    private final Quarantine mQuarantine = Quarantine.empty();
+    private final Deque<Broken> mBroken = new ArrayDeque<>();
+    private final Random mRandom;
+
+    CrashWatch(final Identity identity, final MembershipService membership, final PeerLinks links) {
+        mIdentity = identity;
+        mMembership = membership;
+        mLinks = links;
+        mRandom = new Random(identity.incarnation());
+    }
+
+    /** Returns what tells a call from others when it comes again. */
+    static long fingerprint(final CallHead head, final String callerHeader) {
+        final StringBuilder text = new StringBuilder(head.method()).append(' ').append(head.uri());
+        for (final HeaderField field : head.headers()) {
+            if (field.name().equalsIgnoreCase(callerHeader)) {
+                text.append(' ').append(field.value());
+            }
+        }
+        text.append(' ').append(head.bodyBytes());
+        return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
+    }
+
+    boolean isBlocked(final long fingerprint) {
+        return mLock.get(() -> mQuarantine.isBlocked(fingerprint, System.nanoTime()));
+    }
+
+    // -- crashes here
+
+    /** A connection broke before its call was answered. */
+    void broken(final long fingerprint, final String process) {
+        mLock.run(() -> mBroken.addLast(new Broken(fingerprint, process, System.nanoTime())));
+    }
+
+    /** The process is gone: the calls whose connections broke just before were beside its crash. */
+    void gone(final String process) {
+        final List<Broken> beside =
+                mLock.get(
+                        () -> {
+                            final long now = System.nanoTime();
+                            mBroken.removeIf(b -> now - b.nanos() > SUSPICION_NANOS);
+                            final List<Broken> found = new ArrayList<>(mBroken);
+                            found.removeIf(b -> !b.process().equals(process));
+                            mBroken.removeAll(found);
+                            return found;
+                        });
+        for (final Broken call : beside) {
+            note(call.fingerprint(), process);
+            tellOthers(call.fingerprint(), process);
+        }
+    }
+
+    // -- crashes anywhere
+
+    void note(final long fingerprint, final String process) {
+        final boolean blocks =
+                mLock.get(() -> mQuarantine.crashed(fingerprint, process, System.nanoTime()));
+        DecisionLog.event("crash-noted")
+                .with("fingerprint", Long.toHexString(fingerprint))
+                .with("target", process)
+                .with("quarantined", blocks)
+                .write();
+    }
+
+    private void tellOthers(final long fingerprint, final String process) {
+        final List<Member> others =
+                new ArrayList<>(
+                        mMembership.members().stream()
+                                .filter(Member::isPresent)
+                                .filter(member -> !member.host().equals(mIdentity.host()))
+                                .toList());
+        Collections.shuffle(others, mRandom);
+        others.stream()
+                .limit(MAX_TOLD)
+                .forEach(
+                        member ->
+                                mLinks.ask(
+                                        Addresses.parse(member.peerAddress()),
+                                        id -> new PeerMessage.CrashNotice(id, fingerprint, process),
+                                        TELL_TIMEOUT_MILLIS,
+                                        reply -> {}));
+    }
+}
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -67,6 +67,7 @@
     private final Map<String, GateCall> mWaiting = new HashMap<>();
     private final KeyDesk mKeys;
     private volatile GateTarget mTarget;
+    private volatile CrashWatch mCrashes;
     private volatile boolean mLeaving;
     private volatile long mLeaseEndNanos;
     private final Set<String> mDeparted =
@@ -154,6 +155,7 @@
                 announcement.service(), address, announcement.slots());
         if (known != null) {
             retire(known);
+            targetGone(known);
         }
         return true;
     }
@@ -326,6 +328,39 @@
         return mAdmissionLock;
     }
 
+    /**
+     * Sets who is told of calls that crash the target.
+     *
+     * @param crashes the watch
+     */
+    void watchCrashes(final CrashWatch crashes) {
+        mCrashes = crashes;
+    }
+
+    /** The connection of a call broke before the target answered. */
+    void connectionBroken(final CallHead head, final GateTarget target) {
+        final CrashWatch crashes = mCrashes;
+        if (crashes != null) {
+            crashes.broken(
+                    CrashWatch.fingerprint(head, names().callerService()),
+                    processOf(target.announcement()));
+        }
+    }
+
+    /** The target accepts no connection, or another has taken its place. */
+    void targetGone(final GateTarget target) {
+        final CrashWatch crashes = mCrashes;
+        if (crashes != null) {
+            crashes.gone(processOf(target.announcement()));
+        }
+    }
+
+    private boolean isQuarantined(final CallHead head) {
+        final CrashWatch crashes = mCrashes;
+        return crashes != null
+                && crashes.isBlocked(CrashWatch.fingerprint(head, names().callerService()));
+    }
+
     HeaderNames names() {
         return mSettings.profile().names();
     }
@@ -390,6 +425,9 @@
         if (!mCatalogue.get().isInService(mSettings.host(), mSettings.dataCentre())) {
             return new AdmissionDecision.Refused(ErrorCode.LEAVING);
         }
+        if (isQuarantined(call.head())) {
+            return new AdmissionDecision.Refused(ErrorCode.QUARANTINED);
+        }
         final Optional<ServiceEntry> entry = mCatalogue.get().service(call.head().service());
         final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
         final TargetFacts facts = entry.map(ServiceEntry::targets).orElse(TargetFacts.NONE);
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -253,6 +253,7 @@
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("target unreachable: %s", cause);
         giveSlotBack(false, 0);
         refuseNow(ErrorCode.TARGET_UNREACHABLE);
+        mGate.targetGone(mTarget);
     }
 
     /**
@@ -505,6 +506,9 @@
                     }
                     over();
                     logRun("broken:" + cause);
+                    if (mStatus == 0) {
+                        mGate.connectionBroken(mHead, mTarget);
+                    }
                     mKey.ifPresent(KeyedRun::breakOff);
                     giveSlotBack(false, System.nanoTime() - mStartedNanos);
                     if (!mCallerGone) {
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -42,6 +42,7 @@
     private PeerLinks mLinks;
     private ConfigurationService mConfiguration;
     private MembershipService mMembership;
+    private volatile CrashWatch mCrashes;
     private SeedService mSeeds;
     private ConfigurationWatcher mWatcher;
     private Router mRouter;
@@ -98,6 +99,8 @@
         mMembership =
                 mCloser.add(MembershipService.start(mTransport, mIdentity, mPeerServer.address()));
         mMembership.onVersion(mConfiguration::heard);
+        mCrashes = new CrashWatch(mIdentity, mMembership, mLinks);
+        mGate.watchCrashes(mCrashes);
         mRouter =
                 new Router(
                         mIdentity,
@@ -236,6 +239,10 @@
             case PeerMessage.OutcomeQuery q ->
                     new PeerMessage.OutcomeReply(q.questionId(), mGate.settleOutcome(q.callId()));
             case PeerMessage.ConfigurationPull q -> mConfiguration.answer(q);
+            case PeerMessage.CrashNotice q -> {
+                mCrashes.note(q.fingerprint(), q.process());
+                yield new PeerMessage.CrashAck(q.questionId());
+            }
             case PeerMessage.SyncRequest q -> {
                 mMembership.merge(q.members());
                 yield new PeerMessage.SyncReply(q.questionId(), mMembership.members());
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -214,6 +214,7 @@
                 .with("request", mHead.requestId())
                 .with("service", mHead.service())
                 .with("route", mRoute.host() + mRoute.pathPrefix())
+                .with("uri", mHead.uri())
                 .with("outcome", outcome)
                 .with("elapsedMillis", elapsedMillis())
                 .with("timeoutMillis", mHead.timeoutMillis())
--- a/src/main/java/io/bilberrylane/peer/PeerCodec.java
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -113,6 +113,11 @@
                             .integer(2, m.known().catalogue())
                             .integer(3, m.known().outages())
                             .toBytes();
+            case PeerMessage.CrashNotice m ->
+                    numbered(MessageType.CRASH_NOTICE, 3, m.questionId())
+                            .integer(2, m.fingerprint())
+                            .text(3, m.process())
+                            .toBytes();
             case PeerMessage.SyncRequest m ->
                     numbered(MessageType.SYNC_REQUEST, 2, m.questionId())
                             .list(2, m.members(), ValueFormats::writeMember)
@@ -137,6 +142,8 @@
                             .integer(4, m.version().outages())
                             .list(5, m.outages(), ValueFormats::writeText)
                             .toBytes();
+            case PeerMessage.CrashAck m ->
+                    numbered(MessageType.CRASH_ACK, 1, m.questionId()).toBytes();
             case PeerMessage.SyncReply m ->
                     numbered(MessageType.SYNC_REPLY, 2, m.questionId())
                             .list(2, m.members(), ValueFormats::writeMember)
@@ -227,6 +234,10 @@
             case MessageType.SYNC_REPLY ->
                     new PeerMessage.SyncReply(
                             fields.integer(1), fields.list(2, ValueFormats::readMember));
+            case MessageType.CRASH_NOTICE ->
+                    new PeerMessage.CrashNotice(
+                            fields.integer(1), fields.integer(2), fields.text(3));
+            case MessageType.CRASH_ACK -> new PeerMessage.CrashAck(fields.integer(1));
             default -> new PeerMessage.Unknown(fields.type());
         };
     }
--- a/src/main/java/io/bilberrylane/peer/PeerMessage.java
+++ b/src/main/java/io/bilberrylane/peer/PeerMessage.java
@@ -220,6 +220,22 @@
         }
     }
 
+    /**
+     * Tells that a call was in service when a target crashed.
+     *
+     * @param questionId the question
+     * @param fingerprint what tells the call from others when it comes again
+     * @param process the target's process
+     */
+    record CrashNotice(long questionId, long fingerprint, String process) implements Question {}
+
+    /**
+     * Says that a crash was taken note of.
+     *
+     * @param questionId the question
+     */
+    record CrashAck(long questionId) implements Reply {}
+
     /**
      * A message of a type that this version does not know.
      *
--- /dev/null
+++ b/src/main/java/io/bilberrylane/policy/Quarantine.java
@@ -0,0 +1,80 @@
+package io.bilberrylane.policy;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Remembers calls that were in service when their targets crashed. A call that was beside three
+ * crashes is refused for a bounded time; one that was there by chance is not, since it is not sent
+ * again. Not thread-safe.
+ */
+public final class Quarantine {
+    private static final int CRASHES = 3;
+    private static final long MEMORY_NANOS = 30_000_000_000L;
+    private static final long BLOCK_NANOS = 20_000_000_000L;
+    private static final int MAX_CALLS = 4_096;
+
+    private static final class Record {
+        private final Set<String> mProcesses = new HashSet<>();
+        private long mLastNanos;
+        private boolean mBlocked;
+    }
+
+    private final Map<Long, Record> mRecords = new HashMap<>();
+
+    private Quarantine() {}
+
+    /**
+     * Returns a quarantine that holds nothing.
+     *
+     * @return an empty quarantine
+     */
+    public static Quarantine empty() {
+        return new Quarantine();
+    }
+
+    /**
+     * Takes note of a call that was in service when a target crashed.
+     *
+     * @param fingerprint what tells the call from others when it comes again
+     * @param process the target's process
+     * @param nowNanos the monotonic clock
+     * @return whether the call is refused from now on and was not before
+     */
+    public boolean crashed(final long fingerprint, final String process, final long nowNanos) {
+        expire(nowNanos);
+        if (mRecords.size() >= MAX_CALLS && !mRecords.containsKey(fingerprint)) {
+            return false;
+        }
+        final Record record = mRecords.computeIfAbsent(fingerprint, key -> new Record());
+        record.mLastNanos = nowNanos;
+        record.mProcesses.add(process);
+        final boolean blocks = !record.mBlocked && record.mProcesses.size() >= CRASHES;
+        record.mBlocked |= blocks;
+        return blocks;
+    }
+
+    /**
+     * Returns whether a call is to be refused.
+     *
+     * @param fingerprint what tells the call from others
+     * @param nowNanos the monotonic clock
+     * @return true while it is in quarantine
+     */
+    public boolean isBlocked(final long fingerprint, final long nowNanos) {
+        final Record record = mRecords.get(fingerprint);
+        return record != null && record.mBlocked && nowNanos - record.mLastNanos < BLOCK_NANOS;
+    }
+
+    private void expire(final long nowNanos) {
+        final Iterator<Record> records = mRecords.values().iterator();
+        while (records.hasNext()) {
+            if (nowNanos - records.next().mLastNanos >= MEMORY_NANOS) {
+                records.remove();
+            }
+        }
+    }
+}
--- a/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
+++ b/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
@@ -94,6 +94,8 @@
                 small.map(PeerMessage.Cancel::new),
                 large.map(PeerMessage.Probe::new),
                 large.map(id -> new PeerMessage.ProbeReply(id, LOAD)),
+                Combinators.combine(large, large, text).as(PeerMessage.CrashNotice::new),
+                large.map(PeerMessage.CrashAck::new),
                 Combinators.combine(large, text).as(PeerMessage.OutcomeQuery::new),
                 Combinators.combine(large, Arbitraries.of(CallPhase.values()))
                         .as(PeerMessage.OutcomeReply::new),
