Bound a warm worker's rate only while its coldness is not known

Half of the bytes between zones were offers that far gates refused (9 offers for each call).

Now the bound holds only when the last news that the worker is warm is older than 250 ms, and then the worker is asked; a call asks three far gates at most. GateAdmissionTest holds that a worker which turns cold unannounced never gets more than the bound in a second.

--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -349,6 +349,7 @@
 
     /** The target accepts no connection, or another has taken its place. */
     void targetGone(final GateTarget target) {
+        mAdmissionLock.run(target.admission()::coldnessUnknown);
         final CrashWatch crashes = mCrashes;
         if (crashes != null) {
             crashes.gone(processOf(target.announcement()));
@@ -519,10 +520,8 @@
     /** Takes note of what the target tells when it is asked. */
     void noteHealth(final GateAdmission admission, final HttpHeaders headers) {
         noteSpeed(admission, headers);
-        final Integer coldMillis = headers.getInt(names().coldMillis());
-        if (coldMillis != null) {
-            mAdmissionLock.run(() -> admission.coldFor(coldMillis, System.nanoTime()));
-        }
+        final int coldMillis = headers.getInt(names().coldMillis(), 0);
+        mAdmissionLock.run(() -> admission.coldFor(Math.max(0, coldMillis), System.nanoTime()));
     }
 
     private void noteSpeed(final GateAdmission admission, final HttpHeaders headers) {
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -78,7 +78,8 @@
                 new CallNeed(
                         route.id(),
                         head.objectiveMillis() * 1_000.0,
-                        head.bodyBytes() < 0 || head.bodyBytes() > NEAR_BODY_BYTES);
+                        head.bodyBytes() < 0 || head.bodyBytes() > NEAR_BODY_BYTES,
+                        true);
         mPlan = CallPlan.of(head.timeoutMillis(), head.objectiveMillis(), route.attempts());
     }
 
@@ -116,7 +117,7 @@
         final long workMillis = mRouter.workMillis(mRoute, mHead.service());
         final boolean lastResort = mPlan.isLastResort(elapsedMillis, workMillis);
         final long patienceMillis = mPlan.patienceMillis(elapsedMillis, workMillis);
-        mPlan.offered(lastResort);
+        mPlan.offered(lastResort, mRouter.isFar(target.get()));
         trail(target.get().candidate().host() + "+" + patienceMillis);
         final String callId = mRouter.nextCallId();
         final Attempt next = new Attempt(target.get(), callId);
@@ -140,11 +141,15 @@
             return Optional.empty();
         }
         final Optional<TargetRef> target =
-                mRouter.choose(mRoute, mHead.service(), mPlan.excluded(), mNeed);
+                mRouter.choose(mRoute, mHead.service(), mPlan.excluded(), need());
         if (target.isPresent() || !mPlan.nextRound()) {
             return target;
         }
-        return mRouter.choose(mRoute, mHead.service(), mPlan.excluded(), mNeed);
+        return mRouter.choose(mRoute, mHead.service(), mPlan.excluded(), need());
+    }
+
+    private CallNeed need() {
+        return mPlan.mayGoFar() ? mNeed : mNeed.withoutFar();
     }
 
     /** Tries again soon while no gate is there to be asked, until the objective is past. */
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -147,6 +147,10 @@
         return found;
     }
 
+    boolean isFar(final TargetRef target) {
+        return !target.candidate().dataCentre().equals(mIdentity.dataCentre());
+    }
+
     CallOpener opener(final TargetRef target) {
         return target.candidate().host().equals(mIdentity.host())
                 ? mGate
--- a/src/main/java/io/bilberrylane/policy/CallPlan.java
+++ b/src/main/java/io/bilberrylane/policy/CallPlan.java
@@ -17,7 +17,8 @@
     /** How long a late call waits at its last gate, as a part of its objective. */
     private static final double LATE_PART = 0.3;
 
-    private static final int MAX_OFFERS = 40;
+    private static final int MAX_OFFERS = 30;
+    private static final int MAX_FAR_OFFERS = 3;
 
     private final long mTimeoutMillis;
     private final long mObjectiveMillis;
@@ -26,6 +27,7 @@
     private final Set<String> mRefusedInRound = new HashSet<>();
     private int mRound;
     private int mOffers;
+    private int mFarOffers;
     private int mRuns;
     private boolean mOverloadedInRound = true;
     private boolean mOverloaded;
@@ -90,6 +92,16 @@
         return mRuns;
     }
 
+    /**
+     * Returns whether gates of other data centres may still be asked; each question crosses data
+     * centres for nothing when it is refused.
+     *
+     * @return false once enough were asked
+     */
+    public boolean mayGoFar() {
+        return mFarOffers < MAX_FAR_OFFERS;
+    }
+
     /**
      * Returns how often the call was offered to a gate.
      *
@@ -137,9 +149,11 @@
      * The call is offered to a gate.
      *
      * @param lastResort whether the gate is the last to be asked
+     * @param far whether the gate is in another data centre
      */
-    public void offered(final boolean lastResort) {
+    public void offered(final boolean lastResort, final boolean far) {
         mOffers++;
+        mFarOffers += far ? 1 : 0;
         mLastResortSpent = lastResort;
     }
 
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -42,6 +42,9 @@
     /** A call whose queue time ends sooner is not looked at again before. */
     private static final long LAST_LOOK_NANOS = 30_000_000L;
 
+    /** News that the target is warm hold for so long; a busy one gets a few calls in that time. */
+    private static final long WARM_NEWS_NANOS = 250_000_000L;
+
     private record Running(int route, int inService, int speedPercent) {}
 
     private final int mSlots;
@@ -54,6 +57,8 @@
     private double mFailurePart;
     private long mColdUntilNanos;
     private boolean mColdKnown;
+    private boolean mWarmTold;
+    private long mWarmToldNanos;
     private int mColdLimit;
     private int mWarmLimit;
     private boolean mAccepting = true;
@@ -137,7 +142,12 @@
      * @return true when a call waits for nothing else
      */
     public boolean needsSpeed(final long nowNanos) {
-        return !mWaiting.isEmpty() && hasRoom(nowNanos) && mSpeed.isStale(nowNanos);
+        if (mWaiting.isEmpty() || mInService.size() >= allowance()) {
+            return false;
+        }
+        return hasRate(nowNanos)
+                ? mSpeed.isStale(nowNanos)
+                : mSpeed.isAskable() && !isCold(nowNanos) && !isWarmNewsFresh(nowNanos);
     }
 
     /**
@@ -218,11 +228,36 @@
     public void coldFor(final long millis, final long nowNanos) {
         mColdKnown = millis > 0;
         mColdUntilNanos = nowNanos + millis * 1_000_000L;
+        mWarmTold = !mColdKnown;
+        mWarmToldNanos = nowNanos;
     }
 
+    /** Takes note that nothing is known of the target's coldness, as after an outage of it. */
+    public void coldnessUnknown() {
+        mWarmTold = false;
+    }
+
+    /**
+     * Returns the bound for any second. A target that has turned cold since the last news must not
+     * have got more than a cold one may by the time of the next.
+     */
     private int rateLimit(final long nowNanos) {
-        final boolean cold = mColdKnown && nowNanos - mColdUntilNanos < 0;
-        return cold ? mColdLimit : mWarmLimit;
+        if (isCold(nowNanos)) {
+            return mColdLimit;
+        }
+        return isWarmNewsFresh(nowNanos) ? 0 : mWarmLimit;
+    }
+
+    private boolean isCold(final long nowNanos) {
+        return mColdKnown && nowNanos - mColdUntilNanos < 0;
+    }
+
+    private boolean isWarmNewsFresh(final long nowNanos) {
+        return mWarmTold && nowNanos - mWarmToldNanos < WARM_NEWS_NANOS;
+    }
+
+    private boolean hasRate(final long nowNanos) {
+        return mRate.waitNanos(rateLimit(nowNanos), nowNanos) == 0;
     }
 
     // -- transitions
@@ -367,8 +402,7 @@
     // -- entry
 
     private boolean hasRoom(final long nowNanos) {
-        return mInService.size() < allowance()
-                && mRate.waitNanos(rateLimit(nowNanos), nowNanos) == 0;
+        return mInService.size() < allowance() && hasRate(nowNanos);
     }
 
     /** Returns whether a call should enter a free slot now rather than wait or go elsewhere. */
@@ -423,8 +457,14 @@
      * Returns whether a call goes elsewhere rather than wait for anything but news of the speed.
      */
     private boolean isImpatient(final Ticket ticket, final long nowNanos) {
-        return ticket.patience() == Patience.NONE
-                && !(hasRoom(nowNanos) && mSpeed.isStale(nowNanos));
+        final boolean awaitsNews =
+                hasRoom(nowNanos)
+                        ? mSpeed.isStale(nowNanos)
+                        : mInService.size() < allowance()
+                                && mSpeed.isAskable()
+                                && !isCold(nowNanos)
+                                && !isWarmNewsFresh(nowNanos);
+        return ticket.patience() == Patience.NONE && !awaitsNews;
     }
 
     /** Returns whether a call can no longer end before its deadline, even at normal speed. */
--- a/src/main/java/io/bilberrylane/policy/SpeedBelief.java
+++ b/src/main/java/io/bilberrylane/policy/SpeedBelief.java
@@ -17,6 +17,10 @@
         mAskable = askable;
     }
 
+    boolean isAskable() {
+        return mAskable;
+    }
+
     void note(final int percent, final long nowNanos) {
         mPercent = Math.max(1, percent);
         mTold = true;
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -105,7 +105,7 @@
         }
         final double usual = usualMicros(candidates, need);
         Candidate best = best(near, near.size(), null, need, usual, nowNanos);
-        if (!(need.staysNear() && nearAccepts)) {
+        if (!nearAccepts || need.mayGoFar() && !need.staysNear()) {
             best = best(far, DRAWN, best, need, usual, nowNanos);
         }
         return Optional.ofNullable(best);
--- a/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
+++ b/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
@@ -240,6 +240,59 @@
             gate.boundRates(mBounds, 7.1);
             assertThat(admittedInOneSecond(gate)).isEqualTo(14);
         }
+
+        @Example
+        void shouldNotBoundTheRateWhileTheTargetIsKnownToBeWarm() {
+            final GateAdmission gate = GateAdmission.of(6, 6, 0);
+            gate.boundRates(mBounds, 7.1);
+            int admitted = 0;
+            for (int i = 0; i < 100; i++) {
+                final long now = i * 9 * MILLI;
+                gate.coldFor(0, now);
+                final Ticket ticket =
+                        new Ticket(
+                                "c" + i,
+                                0,
+                                0,
+                                now + 2 * MILLI,
+                                now,
+                                now + 100 * MILLI,
+                                Patience.SOME);
+                if (gate.offer(ticket, now) instanceof AdmissionDecision.Admitted) {
+                    admitted++;
+                    gate.release(ticket.callId(), true, MILLI, now);
+                }
+            }
+            assertThat(admitted).isEqualTo(100);
+        }
+
+        @Example
+        void shouldNotExceedTheBoundSinceTheLastNewsWhenTheTargetTurnsCold() {
+            final GateAdmission gate = GateAdmission.of(6, 6, 0);
+            gate.boundRates(mBounds, 19);
+            gate.coldFor(0, 0);
+            int admitted = 0;
+            for (int i = 0; i < 100; i++) {
+                final long now = i * 10 * MILLI;
+                if (now == 300 * MILLI) {
+                    gate.coldFor(3_000, now);
+                }
+                final Ticket ticket =
+                        new Ticket(
+                                "c" + i,
+                                0,
+                                0,
+                                now + 2 * MILLI,
+                                now,
+                                now + 100 * MILLI,
+                                Patience.SOME);
+                if (gate.offer(ticket, now) instanceof AdmissionDecision.Admitted) {
+                    admitted++;
+                    gate.release(ticket.callId(), true, MILLI, now);
+                }
+            }
+            assertThat(admitted).isLessThanOrEqualTo(33);
+        }
     }
 
     @Group
--- a/src/test/java/io/bilberrylane/policy/TargetSelectorTest.java
+++ b/src/test/java/io/bilberrylane/policy/TargetSelectorTest.java
@@ -65,7 +65,7 @@
     void shouldStayInTheDataCentreWhenTheBodyIsLong() {
         mLoads.told("near", 0, new TargetLoad(6, 9, 6, 3_000, true, 700, 0), 0);
         mLoads.told("far", 0, load(0, true), 0);
-        final CallNeed upload = new CallNeed(0, 100_000, true);
+        final CallNeed upload = new CallNeed(0, 100_000, true, true);
         assertThat(mSelector.choose(List.of(mNear, mFar), Set.of(), upload, 0)).contains(mNear);
         assertThat(mSelector.choose(List.of(mNear, mFar), Set.of("near"), upload, 0)).isEmpty();
         mLoads.told("near", 0, load(0, false), 0);
