Drop a stray answer and await the right one; ask the store less at starts

The stray one is dropped by its identity now, and the connection is not kept (TargetConnectionTest, failing first with the event 'broken').

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -22,6 +22,7 @@
     private Channel mChannel;
     private TargetListener mListener;
     private boolean mSkippingInformational;
+    private boolean mSkippingStray;
     private boolean mReusable;
     private boolean mRequestDone;
     private long mIdleSinceNanos = System.nanoTime();
@@ -144,8 +145,13 @@
             ctx.read();
             return;
         }
-        mReusable = HttpUtil.isKeepAlive(response);
-        mListener.onResponse(response);
+        final boolean isKeepAlive = HttpUtil.isKeepAlive(response);
+        if (mListener.onResponse(response)) {
+            mReusable &= isKeepAlive;
+        } else {
+            mSkippingStray = true;
+            mReusable = false;
+        }
         ctx.read();
     }
 
@@ -156,9 +162,10 @@
             return;
         }
         final boolean last = content instanceof LastHttpContent;
-        if (mSkippingInformational) {
+        if (mSkippingInformational || mSkippingStray) {
             content.release();
-            mSkippingInformational = !last;
+            mSkippingInformational &= !last;
+            mSkippingStray &= !last;
             ctx.read();
             return;
         }
--- a/src/main/java/io/bilberrylane/http/TargetListener.java
+++ b/src/main/java/io/bilberrylane/http/TargetListener.java
@@ -9,8 +9,10 @@
      * The answer begins.
      *
      * @param response its head
+     * @return false when it answers another request, sent on this connection before; it is dropped
+     *     then, and the right one awaited
      */
-    void onResponse(HttpResponse response);
+    boolean onResponse(HttpResponse response);
 
     /**
      * A part of the answer's body.
--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -29,10 +30,13 @@
 final class ConfigurationWatcher {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int WATCHERS = 3;
-    private static final long CHECK_MILLIS = 500;
+    private static final long CHECK_MILLIS = 200;
 
     /** Time for peers to tell a started node the configuration, before it asks the platform. */
-    private static final long PEERS_FIRST_MILLIS = 400;
+    private static final int PEERS_FIRST_MILLIS = 300;
+
+    /** Spreads the nodes that start together, so that the first can tell the others. */
+    private static final int SPREAD_MILLIS = 600;
 
     private final Transport mTransport;
     private final Identity mIdentity;
@@ -42,6 +46,7 @@
     private final KindWatch mCatalogueWatch;
     private final Optional<KindWatch> mOutageWatch;
     private final Set<String> mOutages = new HashSet<>();
+    private final long mPatienceMillis;
     private final long mStartNanos = System.nanoTime();
     private volatile boolean mStopped;
 
@@ -57,6 +62,8 @@
         mMembership = membership;
         mConfiguration = configuration;
         mFormat = format;
+        mPatienceMillis =
+                PEERS_FIRST_MILLIS + new Random(identity.incarnation()).nextInt(SPREAD_MILLIS);
         mCatalogueWatch = new KindWatch(transport, store, format.kind(), new CatalogueTaker());
         mOutageWatch =
                 format.outageKind()
@@ -79,7 +86,7 @@
         }
         final boolean alone = mMembership.members().size() <= 1;
         final long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
-        final boolean waited = ageMillis >= PEERS_FIRST_MILLIS;
+        final boolean waited = ageMillis >= mPatienceMillis;
         final boolean missing = !mConfiguration.isComplete() && waited;
         final boolean watches = missing || waited && !alone && isWatcher() || alone && waited;
         mCatalogueWatch.set(watches);
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -407,14 +407,23 @@
 
     // -- answer
 
+    /** Runs on the connection's loop, which is also this call's. */
     @Override
-    public void onResponse(final HttpResponse response) {
+    public boolean onResponse(final HttpResponse response) {
+        final String echoed = response.headers().get(mGate.names().requestId());
+        if (echoed != null && !echoed.equals(requestId())) {
+            LOGGER.atWarning().log(
+                    "answer to call %s dropped: it came on the connection of call %s",
+                    echoed, requestId());
+            return false;
+        }
         onLoop(
                 () -> {
                     if (mState == State.STARTED) {
                         onAnswerHead(response);
                     }
                 });
+        return true;
     }
 
     private void onAnswerHead(final HttpResponse response) {
@@ -422,9 +431,9 @@
         mStatus = response.status().code();
         mLoadHeader = response.headers().get(names.load(), "");
         mGate.noteLoad(mTarget, response.headers());
-        final Optional<String> defect = defect(names, response);
-        if (defect.isPresent()) {
-            LOGGER.atWarning().log("answer to call %s refused: %s", requestId(), defect.get());
+        if (!names.isSound(mStatus, response.headers())) {
+            LOGGER.atWarning().log(
+                    "answer to call %s refused: a success without a signature", requestId());
             stop(false);
             mSink.onFailed(ErrorCode.ANSWER_SPOILED, CallPhase.STARTED);
             return;
@@ -444,16 +453,6 @@
         return mHead.requestId().isEmpty() ? mHead.callId() : mHead.requestId();
     }
 
-    private Optional<String> defect(final HeaderNames names, final HttpResponse response) {
-        final String echoed = response.headers().get(names.requestId());
-        if (echoed != null && !echoed.equals(requestId())) {
-            return Optional.of("it belongs to call " + echoed);
-        }
-        return names.isSound(mStatus, response.headers())
-                ? Optional.empty()
-                : Optional.of("a success without a signature");
-    }
-
     @Override
     public void onContent(final ByteBuf bytes) {
         onLoop(
--- a/src/main/java/io/bilberrylane/node/SeedService.java
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -32,7 +32,8 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int SEEDS_PER_DATA_CENTRE = 3;
+    private static final int SEEDS_PER_DATA_CENTRE = 2;
+    private static final int ENROL_SPREAD_MILLIS = 600;
     private static final long ALONE_INTERVAL_MILLIS = 500;
     private static final long SYNC_INTERVAL_MILLIS = 10_000;
     private static final long SYNC_MILLIS_PER_MEMBER = 100;
@@ -49,6 +50,7 @@
     private final PeerLinks mLinks;
     private final Random mRandom;
     private volatile List<Seed> mKnownSeeds = List.of();
+    private volatile boolean mWillEnrol;
     private volatile boolean mStopped;
     private int mRound;
 
@@ -135,6 +137,17 @@
         if (listsUs || listed.size() >= SEEDS_PER_DATA_CENTRE) {
             return;
         }
+        if (!mWillEnrol) {
+            mWillEnrol = true;
+            mTransport
+                    .group()
+                    .schedule(
+                            this::listAgain,
+                            mRandom.nextInt(ENROL_SPREAD_MILLIS),
+                            TimeUnit.MILLISECONDS);
+            return;
+        }
+        mWillEnrol = false;
         listed.add(new Seed(mIdentity.host(), mOwnAddress));
         final JsonNode spec = write(listed);
         if (own.isPresent()) {
@@ -144,6 +157,19 @@
         }
     }
 
+    /** Looks again before this node enrols, since another may have been first. */
+    private void listAgain() {
+        mStore.listStale(KIND)
+                .whenComplete(
+                        (list, failure) -> {
+                            if (failure == null) {
+                                onSeeds(list.items());
+                            } else {
+                                mWillEnrol = false;
+                            }
+                        });
+    }
+
     private boolean isGone(final Seed seed) {
         if (seed.host().equals(mIdentity.host())) {
             return true;
--- a/src/main/java/io/bilberrylane/node/TargetQuestions.java
+++ b/src/main/java/io/bilberrylane/node/TargetQuestions.java
@@ -125,14 +125,15 @@
         }
 
         @Override
-        public void onResponse(final HttpResponse response) {
+        public boolean onResponse(final HttpResponse response) {
             final HeaderNames names = mGate.names();
             final String id = response.headers().get(names.targetIdOfAnswer());
             if (id != null && !mTargetId.isEmpty() && !id.equals(mTargetId)) {
                 LOGGER.atInfo().log("target %s was replaced by %s", mTargetId, id);
-                return;
+                return true;
             }
             mGate.noteHealth(mAdmission, response.headers());
+            return true;
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
@@ -0,0 +1,162 @@
+package io.bilberrylane.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrylane.net.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class TargetConnectionTest {
+    private static final String OWN = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nyes";
+    private static final String STRAY = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nno";
+
+    private final BlockingQueue<String> mEvents = new LinkedBlockingQueue<>();
+    private ServerSocket mServer;
+    private Transport mTransport;
+    private TargetPool mPool;
+
+    @BeforeEach
+    void start() throws IOException {
+        mServer = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+        mTransport = Transport.of(1);
+        mPool =
+                TargetPool.of(
+                        mTransport,
+                        new TargetAddress(
+                                new InetSocketAddress("127.0.0.1", mServer.getLocalPort()), 4, 0));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mPool.close();
+        mTransport.close();
+        mServer.close();
+    }
+
+    /** Sends a request to a target that answers with the given bytes and then closes or resets. */
+    private void exchange(final String answer, final boolean reset) throws IOException {
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                connection -> {
+                    final HttpRequest request =
+                            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+                    connection.send(request, true, new Recorder(connection));
+                },
+                cause -> mEvents.add("unreachable"));
+        try (Socket socket = mServer.accept()) {
+            assertThat(socket.getInputStream().read()).isPositive();
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            if (reset) {
+                waitForBody();
+                socket.setSoLinger(true, 0);
+            }
+        }
+    }
+
+    private void waitForBody() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(100);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private String next() throws InterruptedException {
+        return mEvents.poll(5, TimeUnit.SECONDS);
+    }
+
+    private final class Recorder implements TargetListener {
+        private final TargetConnection mConnection;
+
+        private Recorder(final TargetConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        public boolean onResponse(final HttpResponse response) {
+            final boolean own = "own".equals(response.headers().get("Id"));
+            mEvents.add(own ? "head" : "stray");
+            return own;
+        }
+
+        @Override
+        public void onContent(final ByteBuf bytes) {
+            mEvents.add(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+            mConnection.read();
+        }
+
+        @Override
+        public void onComplete() {
+            mEvents.add("complete");
+        }
+
+        @Override
+        public void onBroken(final Throwable cause) {
+            mEvents.add("broken");
+        }
+
+        @Override
+        public void onWritten(final int bytes) {
+            mEvents.add("written");
+        }
+    }
+
+    @Test
+    void shouldDropAStrayAnswerAndAwaitTheRightOne() throws Exception {
+        exchange(STRAY + OWN, false);
+        assertThat(next()).isEqualTo("stray");
+        assertThat(next()).isEqualTo("head");
+        assertThat(next()).isEqualTo("yes");
+        assertThat(next()).isEqualTo("complete");
+    }
+
+    @Test
+    void shouldNotKeepAConnectionThatCarriedAStrayAnswer() throws Exception {
+        exchange(STRAY + OWN, false);
+        while (!"complete".equals(next())) {
+            // The events before the end are held by another test.
+        }
+        Thread.sleep(50);
+        assertThat(mPool.open()).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 9\r\n\r\nshort', false",
+        "'HTTP/1.1 200 OK\r\nId: own\r\n\r\nno length', true",
+        "'no answer at all\r\n\r\n', false",
+        "'', false",
+    })
+    void shouldNotCompleteWhenTheAnswerIsCutOrNoHttp(final String answer, final boolean reset)
+            throws Exception {
+        exchange(answer.replace("\\r\\n", "\r\n"), reset);
+        String last = "";
+        for (String event = next();
+                event != null;
+                event = mEvents.poll(300, TimeUnit.MILLISECONDS)) {
+            last = event;
+        }
+        assertThat(last).isEqualTo("broken");
+    }
+}
