--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DroppingAppender;
 import io.bilberrylane.base.ResourceCloser;
 import io.bilberrylane.http.HttpServer;
 import io.bilberrylane.http.InterfaceProfile;
@@ -204,6 +205,14 @@
                 "bilberrylane.platform.writes",
                 "Writes to the platform since the start",
                 () -> mPlatform.counters().writes());
+        mMetrics.gauge(
+                "bilberrylane.log.dropped",
+                "Log lines dropped since the start because too many waited",
+                DroppingAppender::dropped);
+        mMetrics.gauge(
+                "bilberrylane.platform.failures",
+                "Calls to the platform that failed since the start",
+                () -> mPlatform.counters().failures());
         mMetrics.gauge(
                 "bilberrylane.membership.datagram.bytes",
                 "Bytes of membership datagrams sent and received since the start",
--- a/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
+++ b/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
@@ -30,6 +30,30 @@
             }
         }
 
+        @Test
+        void shouldReadRoutesWhenTheyAreNamed() {
+            final String text =
+                    """
+                    schema: 1
+                    services:
+                      - {service: a, owner: o, targets: {coldPerSecond: 7.5, healthPath: /h}}
+                      - {service: b, owner: o}
+                    routes:
+                      - {host: X.example, pathPrefix: /u/, run: once, timeoutMillis: 900,
+                         split: [{service: a, weight: 3}, {service: b, weight: 1}]}
+                    callers: {idleTimeoutMillis: 1500}
+                    """;
+            final CatalogueCheck check = CatalogueReader.read("f", text);
+            assertThat(check.findings()).isEmpty();
+            final Route route = check.catalogue().route("x.example", "/u/1").orElseThrow();
+            assertThat(route.serviceAt(0.74)).isEqualTo("a");
+            assertThat(route.serviceAt(0.76)).isEqualTo("b");
+            assertThat(route.runRule()).isEqualTo(RunRule.ONCE);
+            assertThat(check.catalogue().route("b", "/any").orElseThrow().serviceAt(0))
+                    .isEqualTo("b");
+            assertThat(check.catalogue().callerLimits().idleTimeoutMillis()).isEqualTo(1_500);
+        }
+
         @Test
         void shouldReadJsonWhenYamlIsNotUsed() {
             final CatalogueCheck check =
@@ -80,6 +104,14 @@
                             + " idempotent: [GET]}]} | f:1:47 bad-rule",
                     "same host | {schema: 1, services: [{service: a, owner: o},"
                             + " {service: b, owner: o, hosts: [a]}]} | f:1:71 duplicate-host",
+                    "unknown part | {schema: 1, routes: [{host: h, pathPrefix: /, service: x}]}"
+                            + " | f:1:47 unknown-service",
+                    "bad prefix | {schema: 1, services: [{service: a, owner: o}],"
+                            + " routes: [{host: h, pathPrefix: x, service: a}]} | f:1:68 bad-prefix",
+                    "no part | {schema: 1, routes: [{host: h, pathPrefix: /}]} | f:1:23 bad-split",
+                    "bad run | {schema: 1, services: [{service: a, owner: o}],"
+                            + " routes: [{host: h, pathPrefix: /, service: a, run: x}]}"
+                            + " | f:1:95 bad-run-rule",
                     "twice out | {schema: 1, dataCentresOut: [a, a]} | f:1:13 duplicate-name"
                 })
         void shouldNameThePlaceWhenSomethingIsWrong(
