--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/CallTrail.java
@@ -0,0 +1,44 @@
+package io.bilberrylane.node;
+
+import io.bilberrylane.base.DecisionLog;
+import io.bilberrylane.catalogue.Route;
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.policy.CallPlan;
+
+/** The steps of one call at the ingress, for the log line at its end. */
+final class CallTrail {
+    private static final int MAX_CHARS = 400;
+
+    private final StringBuilder mSteps = new StringBuilder();
+
+    /** Adds a step, while the trail is short. */
+    void add(final String step, final long elapsedMillis) {
+        if (mSteps.length() < MAX_CHARS) {
+            mSteps.append(mSteps.isEmpty() ? "" : " ")
+                    .append(step)
+                    .append('@')
+                    .append(elapsedMillis);
+        }
+    }
+
+    /** Writes the log line of a call that is over. */
+    void write(
+            final CallHead head,
+            final Route route,
+            final CallPlan plan,
+            final String outcome,
+            final long elapsedMillis) {
+        DecisionLog.event("call-ended")
+                .with("request", head.requestId())
+                .with("service", head.service())
+                .with("route", route.host() + route.pathPrefix())
+                .with("uri", head.uri())
+                .with("outcome", outcome)
+                .with("elapsedMillis", elapsedMillis)
+                .with("timeoutMillis", head.timeoutMillis())
+                .with("offers", plan.offers())
+                .with("runs", plan.runs())
+                .with("trail", mSteps.toString())
+                .write();
+    }
+}
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -25,7 +25,6 @@
 import io.bilberrylane.platform.ObjectStore;
 import io.bilberrylane.policy.AdmissionDecision;
 import io.bilberrylane.policy.GateAdmission;
-import io.bilberrylane.policy.Patience;
 import io.bilberrylane.policy.Settled;
 import io.bilberrylane.policy.TargetLoad;
 import io.bilberrylane.policy.Ticket;
@@ -48,12 +47,6 @@
     private static final int SPARE_CONNECTIONS = 2;
     private static final int WARM_CONNECTIONS = 1;
 
-    /** A call with less time left is refused rather than begun. */
-    private static final long LAST_START_MILLIS = 15;
-
-    /** How long a call waits for news of its target's speed. */
-    private static final long SPEED_NEWS_MILLIS = 40;
-
     private static final long MIN_LOOK_NANOS = 2_000_000L;
     private static final int REMEMBERED_DEPARTURES = 64;
 
@@ -433,16 +426,9 @@
         final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
         final TargetFacts facts = entry.map(ServiceEntry::targets).orElse(TargetFacts.NONE);
         final long now = System.nanoTime();
-        final long waitMillis = waitMillis(call.head(), limits);
-        final Ticket ticket =
-                new Ticket(
-                        call.head().callId(),
-                        call.head().priority(),
-                        call.head().route(),
-                        now + TimeUnit.MILLISECONDS.toNanos(waitMillis),
-                        now + TimeUnit.MILLISECONDS.toNanos(call.head().objectiveMillis()),
-                        now + TimeUnit.MILLISECONDS.toNanos(call.head().timeoutMillis()),
-                        patience(call.head()));
+        final long mostMillis =
+                names().callersNameRequests() ? Long.MAX_VALUE : limits.queueMillis();
+        final Ticket ticket = Tickets.of(call.head(), mostMillis, now);
         final AdmissionDecision decision =
                 mAdmissionLock.get(
                         () -> {
@@ -493,20 +479,6 @@
                 call);
     }
 
-    private static Patience patience(final CallHead head) {
-        if (head.lastResort()) {
-            return Patience.LAST_RESORT;
-        }
-        return head.patienceMillis() == 0 ? Patience.NONE : Patience.SOME;
-    }
-
-    private long waitMillis(final CallHead head, final Limits limits) {
-        final long patienceMillis =
-                head.patienceMillis() == 0 ? SPEED_NEWS_MILLIS : head.patienceMillis();
-        final long most = Math.min(patienceMillis, head.timeoutMillis() - LAST_START_MILLIS);
-        return names().callersNameRequests() ? most : Math.min(limits.queueMillis(), most);
-    }
-
     private void settle(final GateTarget target) {
         apply(target, admission -> admission.settle(System.nanoTime()), null);
         lookAgain(target, facts(target.announcement().service()));
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -20,13 +20,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -307,29 +302,12 @@
     }
 
     private HttpRequest request() {
-        final HttpRequest request =
-                new DefaultHttpRequest(
-                        HttpVersion.HTTP_1_1, HttpMethod.valueOf(mHead.method()), mHead.uri());
-        for (final HeaderField field : mHead.headers()) {
-            request.headers().add(field.name(), field.value());
-        }
-        if (!request.headers().contains(HttpHeaderNames.HOST)) {
-            request.headers().set(HttpHeaderNames.HOST, mHead.service());
-        }
-        if (mHead.bodyBytes() < 0) {
-            request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-            HttpUtil.setTransferEncodingChunked(request, true);
-        }
-        final long remainingNanos = Math.max(0, mDeadlineNanos - System.nanoTime());
-        final HeaderNames names = mGate.names();
-        request.headers().set(names.timeoutMillis(), TimeUnit.NANOSECONDS.toMillis(remainingNanos));
-        if (!names.callersNameRequests()) {
-            request.headers().set(names.requestId(), mHead.callId());
-        }
-        if (!mTarget.announcement().id().isEmpty()) {
-            request.headers().set(names.targetId(), mTarget.announcement().id());
-        }
-        return request;
+        final long remainingNanos = mDeadlineNanos - System.nanoTime();
+        return TargetRequest.of(
+                mHead,
+                mGate.names(),
+                mTarget.announcement().id(),
+                TimeUnit.NANOSECONDS.toMillis(remainingNanos));
     }
 
     // -- body
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -1,7 +1,6 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
-import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.Route;
 import io.bilberrylane.outcome.CallPhase;
@@ -37,8 +36,6 @@
     /** A call with less than this part of its time left is not sent to another target. */
     private static final long LEAST_RETRY_PART = 5;
 
-    private static final int MAX_TRAIL_CHARS = 400;
-
     /** A caller is asked to come back after this part of its time. */
     private static final long RETRY_AFTER_PART = 10;
 
@@ -53,7 +50,7 @@
     private final long mStartNanos = System.nanoTime();
     private final CallNeed mNeed;
     private final CallPlan mPlan;
-    private final StringBuilder mTrail = new StringBuilder();
+    private final CallTrail mTrail = new CallTrail();
     private Attempt mAttempt;
     private ScheduledFuture<?> mDeadline;
     private boolean mRetryGranted;
@@ -168,14 +165,8 @@
         refuse(refusal);
     }
 
-    /** Adds a step to what the log line tells of the call, while it is short. */
     private void trail(final String step) {
-        if (mTrail.length() < MAX_TRAIL_CHARS) {
-            mTrail.append(mTrail.isEmpty() ? "" : " ")
-                    .append(step)
-                    .append('@')
-                    .append(elapsedMillis());
-        }
+        mTrail.add(step, elapsedMillis());
     }
 
     /** A target has seen the call; a further one needs a new grant. */
@@ -215,18 +206,7 @@
             return false;
         }
         mOver = true;
-        DecisionLog.event("call-ended")
-                .with("request", mHead.requestId())
-                .with("service", mHead.service())
-                .with("route", mRoute.host() + mRoute.pathPrefix())
-                .with("uri", mHead.uri())
-                .with("outcome", outcome)
-                .with("elapsedMillis", elapsedMillis())
-                .with("timeoutMillis", mHead.timeoutMillis())
-                .with("offers", mPlan.offers())
-                .with("runs", mPlan.runs())
-                .with("trail", mTrail.toString())
-                .write();
+        mTrail.write(mHead, mRoute, mPlan, outcome, elapsedMillis());
         mDeadline.cancel(false);
         mRouter.callEnded();
         return true;
--- /dev/null
+++ b/src/main/java/io/bilberrylane/node/Tickets.java
@@ -0,0 +1,52 @@
+package io.bilberrylane.node;
+
+import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.policy.Patience;
+import io.bilberrylane.policy.Ticket;
+import java.util.concurrent.TimeUnit;
+
+/** Makes the tickets of calls that ask a gate for a slot. */
+final class Tickets {
+    /** A call with less time left is refused rather than begun. */
+    private static final long LAST_START_MILLIS = 15;
+
+    /** How long a call waits for news of its target's speed. */
+    private static final long SPEED_NEWS_MILLIS = 40;
+
+    private Tickets() {}
+
+    /**
+     * Returns the ticket of a call.
+     *
+     * @param head the call
+     * @param mostMillis the longest time in the queue, in milliseconds
+     * @param nowNanos the monotonic clock
+     */
+    static Ticket of(final CallHead head, final long mostMillis, final long nowNanos) {
+        return new Ticket(
+                head.callId(),
+                head.priority(),
+                head.route(),
+                after(nowNanos, Math.min(mostMillis, waitMillis(head))),
+                after(nowNanos, head.objectiveMillis()),
+                after(nowNanos, head.timeoutMillis()),
+                patience(head));
+    }
+
+    private static long after(final long nowNanos, final long millis) {
+        return nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static long waitMillis(final CallHead head) {
+        final long patienceMillis =
+                head.patienceMillis() == 0 ? SPEED_NEWS_MILLIS : head.patienceMillis();
+        return Math.min(patienceMillis, head.timeoutMillis() - LAST_START_MILLIS);
+    }
+
+    private static Patience patience(final CallHead head) {
+        if (head.lastResort()) {
+            return Patience.LAST_RESORT;
+        }
+        return head.patienceMillis() == 0 ? Patience.NONE : Patience.SOME;
+    }
+}
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -27,9 +27,6 @@
     /** A queue never holds more than this many times the slots. */
     private static final int QUEUE_FACTOR = 8;
 
-    /** Requests in a second that are kept free, since one reaches its target a little later. */
-    private static final double RATE_MARGIN = 1;
-
     /** A call with less time than this part of the usual work is not begun any more. */
     private static final double HOPELESS_PART = 0.6;
 
@@ -42,25 +39,16 @@
     /** A call whose queue time ends sooner is not looked at again before. */
     private static final long LAST_LOOK_NANOS = 30_000_000L;
 
-    /** News that the target is warm hold for so long; a busy one gets a few calls in that time. */
-    private static final long WARM_NEWS_NANOS = 250_000_000L;
-
     private record Running(int route, int inService, int speedPercent) {}
 
     private final int mSlots;
     private final ColdStart mColdStart;
     private final WorkEstimates mWork;
     private final SpeedBelief mSpeed = new SpeedBelief();
-    private final SecondRate mRate = new SecondRate();
+    private final ColdRate mRate = new ColdRate();
     private final Map<String, Running> mInService = new HashMap<>();
     private final Map<String, Ticket> mWaiting = new LinkedHashMap<>();
     private double mFailurePart;
-    private long mColdUntilNanos;
-    private boolean mColdKnown;
-    private boolean mWarmTold;
-    private long mWarmToldNanos;
-    private int mColdLimit;
-    private int mWarmLimit;
     private boolean mAccepting = true;
     private int mPeakInService;
 
@@ -145,9 +133,14 @@
         if (mWaiting.isEmpty() || mInService.size() >= allowance()) {
             return false;
         }
-        return hasRate(nowNanos)
+        return awaitsNews(nowNanos);
+    }
+
+    /** Returns whether the answer to a question may let a call into a free slot. */
+    private boolean awaitsNews(final long nowNanos) {
+        return mRate.waitNanos(nowNanos) == 0
                 ? mSpeed.isStale(nowNanos)
-                : mSpeed.isAskable() && !isCold(nowNanos) && !isWarmNewsFresh(nowNanos);
+                : mSpeed.isAskable() && mRate.awaitsNews(nowNanos);
     }
 
     /**
@@ -164,7 +157,7 @@
         if (next == Long.MAX_VALUE || mInService.size() >= allowance()) {
             return next;
         }
-        final long rate = mRate.waitNanos(rateLimit(nowNanos), nowNanos);
+        final long rate = mRate.waitNanos(nowNanos);
         return Math.min(next, Math.max(rate, mSpeed.lookAgainNanos(nowNanos)));
     }
 
@@ -209,14 +202,7 @@
      * @param coldPerSecond calls per second that a cold target bears; 0 without a limit
      */
     public void boundRates(final FleetBounds bounds, final double coldPerSecond) {
-        if (coldPerSecond <= 0) {
-            mColdLimit = 0;
-            mWarmLimit = 0;
-            return;
-        }
-        final double most = coldPerSecond * bounds.coldOverage() + bounds.coldSlack() - RATE_MARGIN;
-        mColdLimit = Math.max(1, (int) Math.floor(coldPerSecond));
-        mWarmLimit = Math.max(mColdLimit, (int) Math.floor(most));
+        mRate.bound(bounds, coldPerSecond);
     }
 
     /**
@@ -226,38 +212,12 @@
      * @param nowNanos the monotonic clock
      */
     public void coldFor(final long millis, final long nowNanos) {
-        mColdKnown = millis > 0;
-        mColdUntilNanos = nowNanos + millis * 1_000_000L;
-        mWarmTold = !mColdKnown;
-        mWarmToldNanos = nowNanos;
+        mRate.coldFor(millis, nowNanos);
     }
 
     /** Takes note that nothing is known of the target's coldness, as after an outage of it. */
     public void coldnessUnknown() {
-        mWarmTold = false;
-    }
-
-    /**
-     * Returns the bound for any second. A target that has turned cold since the last news must not
-     * have got more than a cold one may by the time of the next.
-     */
-    private int rateLimit(final long nowNanos) {
-        if (isCold(nowNanos)) {
-            return mColdLimit;
-        }
-        return isWarmNewsFresh(nowNanos) ? 0 : mWarmLimit;
-    }
-
-    private boolean isCold(final long nowNanos) {
-        return mColdKnown && nowNanos - mColdUntilNanos < 0;
-    }
-
-    private boolean isWarmNewsFresh(final long nowNanos) {
-        return mWarmTold && nowNanos - mWarmToldNanos < WARM_NEWS_NANOS;
-    }
-
-    private boolean hasRate(final long nowNanos) {
-        return mRate.waitNanos(rateLimit(nowNanos), nowNanos) == 0;
+        mRate.unknown();
     }
 
     // -- transitions
@@ -402,7 +362,7 @@
     // -- entry
 
     private boolean hasRoom(final long nowNanos) {
-        return mInService.size() < allowance() && hasRate(nowNanos);
+        return mInService.size() < allowance() && mRate.waitNanos(nowNanos) == 0;
     }
 
     /** Returns whether a call should enter a free slot now rather than wait or go elsewhere. */
@@ -457,14 +417,8 @@
      * Returns whether a call goes elsewhere rather than wait for anything but news of the speed.
      */
     private boolean isImpatient(final Ticket ticket, final long nowNanos) {
-        final boolean awaitsNews =
-                hasRoom(nowNanos)
-                        ? mSpeed.isStale(nowNanos)
-                        : mInService.size() < allowance()
-                                && mSpeed.isAskable()
-                                && !isCold(nowNanos)
-                                && !isWarmNewsFresh(nowNanos);
-        return ticket.patience() == Patience.NONE && !awaitsNews;
+        return ticket.patience() == Patience.NONE
+                && !(mInService.size() < allowance() && awaitsNews(nowNanos));
     }
 
     /** Returns whether a call can no longer end before its deadline, even at normal speed. */
