Never use a promising status for a call that may have run

The profile names the statuses that promise; such a call gets 502 now. The project's own interface says it in its outcome header, as before. PlatformProfileTest holds it for every error code.

--- a/src/main/java/io/bilberrylane/http/HeaderNames.java
+++ b/src/main/java/io/bilberrylane/http/HeaderNames.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.http;
 
+import io.bilberrylane.base.ErrorCode;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Locale;
 import java.util.Objects;
@@ -18,6 +19,7 @@
  * @param signature marks an answer that a target made; empty when targets do not sign
  * @param coldMillis how much longer a target stays cold, in milliseconds
  * @param callersNameRequests whether the caller gives each request its identity
+ * @param notRunStatuses statuses that callers take for a promise that a request was not run
  * @param fractionalSeconds whether callers understand fractions of a second in Retry-After
  */
 public record HeaderNames(
@@ -31,8 +33,10 @@
         String signature,
         String coldMillis,
         boolean callersNameRequests,
+        Set<Integer> notRunStatuses,
         boolean fractionalSeconds) {
     private static final int MISDIRECTED = 421;
+    private static final int BAD_GATEWAY = 502;
 
     /** The names of the project's own interface. */
     public static final HeaderNames OWN =
@@ -47,6 +51,7 @@
                     "",
                     "Bilberrylane-Cold-Millis",
                     false,
+                    Set.of(),
                     false);
 
     /** Checks that every name is present. */
@@ -60,6 +65,20 @@
         Objects.requireNonNull(notRun, "notRun is null");
         Objects.requireNonNull(signature, "signature is null");
         Objects.requireNonNull(coldMillis, "coldMillis is null");
+        notRunStatuses = Set.copyOf(notRunStatuses);
+    }
+
+    /**
+     * Returns the status that a caller sees for an error.
+     *
+     * @param code the error
+     * @param notRun whether the request certainly was not run, and never will be
+     * @return the error's status, unless that would promise what is not certain
+     */
+    public int statusOf(final ErrorCode code, final boolean notRun) {
+        return !notRun && notRunStatuses.contains(code.httpStatus())
+                ? BAD_GATEWAY
+                : code.httpStatus();
     }
 
     /**
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -456,7 +456,7 @@
         final FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(code.httpStatus()),
+                        HttpResponseStatus.valueOf(mSettings.names().statusOf(code, notRun)),
                         Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -366,6 +366,7 @@
                             return;
                         }
                         mSwallowing = isRetryable(head, mTarget.candidate().host());
+                        mMayHaveRun |= mSwallowing && !head.notRun();
                         if (!mSwallowing) {
                             mHeadSeen = true;
                             mSink.onHead(head);
--- a/src/main/java/io/bilberrylane/platform/PlatformProfile.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformProfile.java
@@ -2,6 +2,7 @@
 
 import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.InterfaceProfile;
+import java.util.Set;
 
 /** The interface of the users' platform. */
 public final class PlatformProfile {
@@ -17,6 +18,7 @@
                     "X-Response-Signature",
                     "X-Cold-Ms",
                     true,
+                    Set.of(408, 421, 429, 503),
                     true);
 
     private PlatformProfile() {}
--- /dev/null
+++ b/src/test/java/io/bilberrylane/platform/PlatformProfileTest.java
@@ -0,0 +1,46 @@
+package io.bilberrylane.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.http.HeaderNames;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class PlatformProfileTest {
+    private static final List<Integer> PROMISES = List.of(408, 421, 429, 503);
+
+    private final HeaderNames mNames = PlatformProfile.of("", 1_500).names();
+
+    @ParameterizedTest
+    @EnumSource
+    void shouldPromiseNothingWhenTheCallMayHaveRun(final ErrorCode code) {
+        assertThat(mNames.statusOf(code, false)).isNotIn(PROMISES);
+        assertThat(mNames.statusOf(code, true)).isEqualTo(code.httpStatus());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"503, true, true", "503, false, false", "421, false, true", "200, true, false"})
+    void shouldTakeAnAnswerForNotRunOnlyWhenTheWorkerSaysSo(
+            final int status, final boolean marked, final boolean notRun) {
+        final HttpHeaders headers = new DefaultHttpHeaders();
+        if (marked) {
+            headers.set("X-Not-Executed", "1");
+        }
+        assertThat(mNames.saysNotRun(status, headers)).isEqualTo(notRun);
+    }
+
+    @Test
+    void shouldTakeASuccessWithoutASignatureForSpoiled() {
+        final HttpHeaders headers = new DefaultHttpHeaders();
+        assertThat(mNames.isSound(200, headers)).isFalse();
+        assertThat(mNames.isSound(500, headers)).isTrue();
+        headers.set("X-Response-Signature", "s");
+        assertThat(mNames.isSound(200, headers)).isTrue();
+    }
+}
