--- /dev/null
+++ b/src/test/java/io/bilberrylane/node/KindWatchTest.java
@@ -0,0 +1,162 @@
+package io.bilberrylane.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import io.bilberrylane.base.BilberrylaneException;
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.platform.ObjectEvent;
+import io.bilberrylane.platform.ObjectEvents;
+import io.bilberrylane.platform.ObjectList;
+import io.bilberrylane.platform.ObjectStore;
+import io.bilberrylane.platform.StoredObject;
+import io.bilberrylane.platform.WatchListener;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class KindWatchTest {
+    private static final StoredObject NEWER = StoredObject.of("k", "a", 8, NullNode.getInstance());
+
+    private final Transport mTransport = Transport.of(1);
+    private final QuietStore mStore = new QuietStore();
+    private final BlockingQueue<Long> mTaken = new LinkedBlockingQueue<>();
+    private final KindWatch mWatch = new KindWatch(mTransport, mStore, "k", new Recorder());
+
+    @AfterEach
+    void stop() {
+        mWatch.stop();
+        mTransport.close();
+    }
+
+    /** A store whose watches tell nothing by themselves. */
+    private static final class QuietStore implements ObjectStore {
+        private final BlockingQueue<Long> mWatchedFrom = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> mClosed = new LinkedBlockingQueue<>();
+        private volatile ObjectList mStale = new ObjectList(5, List.of());
+        private volatile boolean mDown;
+        private volatile WatchListener mListener;
+
+        @Override
+        public CompletableFuture<ObjectList> list(final String kind) {
+            return CompletableFuture.completedFuture(new ObjectList(5, List.of()));
+        }
+
+        @Override
+        public CompletableFuture<ObjectList> listStale(final String kind) {
+            return mDown
+                    ? CompletableFuture.failedFuture(
+                            new BilberrylaneException(ErrorCode.PLATFORM_UNAVAILABLE, "down"))
+                    : CompletableFuture.completedFuture(mStale);
+        }
+
+        @Override
+        public AutoCloseable watch(
+                final String kind,
+                final long version,
+                final long waitMillis,
+                final WatchListener listener) {
+            mListener = listener;
+            mWatchedFrom.add(version);
+            return () -> mClosed.add("closed");
+        }
+
+        @Override
+        public CompletableFuture<StoredObject> get(final String kind, final String name) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<StoredObject> create(
+                final String kind, final String name, final JsonNode spec) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<StoredObject> update(
+                final String kind, final String name, final long version, final JsonNode spec) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<StoredObject> updateStatus(
+                final String kind, final String name, final long version, final JsonNode status) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletableFuture<Void> delete(
+                final String kind, final String name, final long version) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    private final class Recorder implements KindWatch.Taker {
+        @Override
+        public void onList(final long version, final List<StoredObject> objects) {
+            mTaken.add(version);
+        }
+
+        @Override
+        public void onEvents(final long version, final List<ObjectEvent> events) {
+            mTaken.add(version);
+        }
+
+        @Override
+        public boolean differs(final List<StoredObject> objects) {
+            return !objects.isEmpty();
+        }
+    }
+
+    private static <T> T next(final BlockingQueue<T> queue) throws InterruptedException {
+        return queue.poll(8, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void shouldStartAnewWhenACheapReadShowsAChangeThatWasNotTold() throws Exception {
+        mWatch.set(true);
+        assertThat(next(mTaken)).isEqualTo(5);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+        mStore.mStale = new ObjectList(9, List.of(NEWER));
+        assertThat(next(mStore.mClosed)).isEqualTo("closed");
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+    }
+
+    @Test
+    void shouldStartAnewWhenThePlatformAnswersAgainAfterAnOutage() throws Exception {
+        mWatch.set(true);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+        mStore.mDown = true;
+        TimeUnit.MILLISECONDS.sleep(3_000);
+        assertThat(mStore.mClosed).isEmpty();
+        mStore.mDown = false;
+        assertThat(next(mStore.mClosed)).isEqualTo("closed");
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+    }
+
+    @Test
+    void shouldListAgainWhenTheHistoryIsGone() throws Exception {
+        mWatch.set(true);
+        assertThat(next(mTaken)).isEqualTo(5);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+        mStore.mListener.onEnded(
+                new BilberrylaneException(ErrorCode.PLATFORM_GONE, "history is gone"));
+        assertThat(next(mTaken)).isEqualTo(5);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+    }
+
+    @Test
+    void shouldGoOnFromWhatWasToldWhenItIsCut() throws Exception {
+        mWatch.set(true);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+        mStore.mListener.onEvents(new ObjectEvents(8, List.of(new ObjectEvent(NEWER, false))));
+        mStore.mListener.onEnded(new BilberrylaneException(ErrorCode.PLATFORM_UNAVAILABLE, "cut"));
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(8);
+    }
+}
