--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -353,7 +353,7 @@
         sleep(LAST_WORD_MILLIS);
         if (isBusy()) {
             LOGGER.atWarning().log(
-                    "%d calls of callers and %d at the target still in progress after %d ms are cut",
+                    "cut after %3$d ms: %1$d calls of callers and %2$d at the target",
                     mRouter.callsInProgress(), mGate.load().inFlight(), mSettings.drainMillis());
         }
         close();
--- a/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
+++ b/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
@@ -107,7 +107,8 @@
                     "unknown part | {schema: 1, routes: [{host: h, pathPrefix: /, service: x}]}"
                             + " | f:1:47 unknown-service",
                     "bad prefix | {schema: 1, services: [{service: a, owner: o}],"
-                            + " routes: [{host: h, pathPrefix: x, service: a}]} | f:1:68 bad-prefix",
+                            + " routes: [{host: h, pathPrefix: x, service: a}]}"
+                            + " | f:1:68 bad-prefix",
                     "no part | {schema: 1, routes: [{host: h, pathPrefix: /}]} | f:1:23 bad-split",
                     "bad run | {schema: 1, services: [{service: a, owner: o}],"
                             + " routes: [{host: h, pathPrefix: /, service: a, run: x}]}"
