Drop a success that names no request; drop a call's answer that comes to a question

The gate took an answer without an identity for the call's own; the node's own questions to a worker have none, and a worker that sends second answers sends them to those too.

Now a success must name its request, and an answer that names one is not the answer to a question. Ruled out by reading: streams between nodes, the pool handing out a connection twice.

--- a/src/main/java/io/bilberrylane/http/HeaderNames.java
+++ b/src/main/java/io/bilberrylane/http/HeaderNames.java
@@ -124,6 +124,24 @@
         return status == MISDIRECTED || mark != null && !mark.equals("unknown");
     }
 
+    /**
+     * Returns whether an answer is that of a request. A target repeats the identity of each request
+     * that has one, so that a success without it answers something else, such as a question of the
+     * node itself whose answer came twice.
+     *
+     * @param id the identity of the request
+     * @param status the status of the answer
+     * @param headers the fields of the answer
+     * @return false when the answer is to be dropped and the right one awaited
+     */
+    public boolean isAnswerTo(final String id, final int status, final HttpHeaders headers) {
+        final String echoed = headers.get(requestId);
+        if (echoed == null) {
+            return !callersNameRequests || id.isEmpty() || status / 100 != 2;
+        }
+        return echoed.equals(id);
+    }
+
     /**
      * Returns whether an answer may be passed on as a success.
      *
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -388,11 +388,12 @@
     /** Runs on the connection's loop, which is also this call's. */
     @Override
     public boolean onResponse(final HttpResponse response) {
-        final String echoed = response.headers().get(mGate.names().requestId());
-        if (echoed != null && !echoed.equals(requestId())) {
+        final HeaderNames names = mGate.names();
+        final int status = response.status().code();
+        if (!names.isAnswerTo(requestId(), status, response.headers())) {
             LOGGER.atWarning().log(
                     "answer to call %s dropped: it came on the connection of call %s",
-                    echoed, requestId());
+                    response.headers().get(names.requestId()), requestId());
             return false;
         }
         onLoop(
--- a/src/main/java/io/bilberrylane/node/TargetQuestions.java
+++ b/src/main/java/io/bilberrylane/node/TargetQuestions.java
@@ -127,6 +127,12 @@
         @Override
         public boolean onResponse(final HttpResponse response) {
             final HeaderNames names = mGate.names();
+            if (response.headers().contains(names.requestId())) {
+                LOGGER.atWarning().log(
+                        "answer to call %s dropped: it came to a question",
+                        response.headers().get(names.requestId()));
+                return false;
+            }
             final String id = response.headers().get(names.targetIdOfAnswer());
             if (id != null && !mTargetId.isEmpty() && !id.equals(mTargetId)) {
                 LOGGER.atInfo().log("target %s was replaced by %s", mTargetId, id);
--- a/src/test/java/io/bilberrylane/platform/PlatformProfileTest.java
+++ b/src/test/java/io/bilberrylane/platform/PlatformProfileTest.java
@@ -35,6 +35,24 @@
         assertThat(mNames.saysNotRun(status, headers)).isEqualTo(notRun);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "a, 200, a, true",
+        "a, 200, b, false",
+        "a, 200, , false",
+        "a, 503, , true",
+        "a, 503, b, false",
+        "'', 200, , true",
+    })
+    void shouldTakeAnAnswerOnlyForItsOwnRequest(
+            final String id, final int status, final String echoed, final boolean isAnswer) {
+        final HttpHeaders headers = new DefaultHttpHeaders();
+        if (echoed != null) {
+            headers.set("X-Request-Id", echoed);
+        }
+        assertThat(mNames.isAnswerTo(id, status, headers)).isEqualTo(isAnswer);
+    }
+
     @Test
     void shouldTakeASuccessWithoutASignatureForSpoiled() {
         final HttpHeaders headers = new DefaultHttpHeaders();
