Use product names for a target's probe path and cold rate; merge what stood twice

Found on reading the whole change: healthPath and a name that begins like the platform's coldPerS stood outside platform/; the filter of allowed targets, the mean time that targets tell for a route, and the reading of a required text stood twice each. PlatformNamesTest now forbids both names.

--- a/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
+++ b/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
@@ -220,8 +220,8 @@
                 new TargetFacts(
                         (int) scope.number("connections", 0, 0, 1_000_000),
                         scope.number("coldMillis", 0, 0, MAX_TIMEOUT_MILLIS),
-                        scope.decimal("coldPerSecond", 0, 0, 1_000_000),
-                        scope.text("healthPath").orElse(""));
+                        scope.decimal("coldRatePerSecond", 0, 0, 1_000_000),
+                        scope.text("probePath").orElse(""));
         scope.rejectUnknown();
         return facts;
     }
--- a/src/main/java/io/bilberrylane/catalogue/TargetFacts.java
+++ b/src/main/java/io/bilberrylane/catalogue/TargetFacts.java
@@ -7,18 +7,18 @@
  *
  * @param connections connections that a target accepts; 0 when its announcement says
  * @param coldMillis how long a started target stays cold, in milliseconds
- * @param coldPerSecond requests per second that a cold target bears; 0 without a limit
- * @param healthPath the path that answers with the target's state; empty when there is none
+ * @param coldRatePerSecond requests per second that a cold target bears; 0 without a limit
+ * @param probePath the path that answers with the target's state; empty when there is none
  */
 public record TargetFacts(
-        int connections, long coldMillis, double coldPerSecond, String healthPath) {
+        int connections, long coldMillis, double coldRatePerSecond, String probePath) {
     /** What holds for an entry that says nothing of its targets. */
     public static final TargetFacts NONE = new TargetFacts(0, 0, 0, "");
 
     /** Checks that no limit is negative. */
     public TargetFacts {
-        Objects.requireNonNull(healthPath, "healthPath is null");
-        if (connections < 0 || coldMillis < 0 || !(coldPerSecond >= 0)) {
+        Objects.requireNonNull(probePath, "probePath is null");
+        if (connections < 0 || coldMillis < 0 || !(coldRatePerSecond >= 0)) {
             throw new IllegalArgumentException("a limit of the targets is negative");
         }
     }
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -433,8 +433,8 @@
                 mAdmissionLock.get(
                         () -> {
                             final GateAdmission admission = target.admission();
-                            admission.boundRates(mSettings.bounds(), facts.coldPerSecond());
-                            admission.askSpeed(!facts.healthPath().isEmpty());
+                            admission.boundRates(mSettings.bounds(), facts.coldRatePerSecond());
+                            admission.askSpeed(!facts.probePath().isEmpty());
                             final AdmissionDecision made = admission.offer(ticket, now);
                             if (made instanceof AdmissionDecision.Queued) {
                                 mWaiting.put(ticket.callId(), call);
@@ -452,7 +452,7 @@
         final long now = System.nanoTime();
         final boolean ask = mAdmissionLock.get(() -> target.admission().needsSpeed(now));
         if (ask) {
-            target.questions().ask(facts.healthPath(), () -> settle(target));
+            target.questions().ask(facts.probePath(), () -> settle(target));
             return;
         }
         final long pause = mAdmissionLock.get(() -> target.admission().nextLookNanos(now));
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -107,8 +107,7 @@
         final List<Candidate> candidates = new ArrayList<>(targets.size());
         for (final TargetRef target : targets) {
             final Candidate candidate = target.candidate();
-            if (catalogue.isInService(candidate.host(), candidate.dataCentre())
-                    && mayRunIn(route, candidate.dataCentre())) {
+            if (isAllowed(catalogue, route, candidate)) {
                 candidates.add(candidate);
             }
         }
@@ -127,9 +126,14 @@
                                 .findFirst());
     }
 
-    private boolean mayRunIn(final Route route, final String dataCentre) {
-        return route.regions().isEmpty()
-                || route.regions().contains(mRegions.getOrDefault(dataCentre, ""));
+    /** Returns whether a target is in service and in a region that the route may run in. */
+    private boolean isAllowed(
+            final Catalogue catalogue, final Route route, final Candidate candidate) {
+        final boolean mayRunThere =
+                route.regions().isEmpty()
+                        || route.regions()
+                                .contains(mRegions.getOrDefault(candidate.dataCentre(), ""));
+        return mayRunThere && catalogue.isInService(candidate.host(), candidate.dataCentre());
     }
 
     /** Returns the gate of a host that holds an idempotency key, whether or not it admits work. */
@@ -170,20 +174,10 @@
 
     /** Returns how long calls of a route usually take at a target, in milliseconds. */
     long workMillis(final Route route, final String service) {
-        final List<TargetRef> targets = mMembership.targets(service);
+        final List<Candidate> candidates =
+                mMembership.targets(service).stream().map(TargetRef::candidate).toList();
         return Math.round(
-                mLock.get(
-                                () ->
-                                        targets.stream()
-                                                .mapToLong(
-                                                        target ->
-                                                                mLoads.serviceMicros(
-                                                                        target.candidate().host(),
-                                                                        route.id()))
-                                                .filter(micros -> micros > 0)
-                                                .average()
-                                                .orElse(0))
-                        / 1_000);
+                mLock.get(() -> mLoads.usualMicros(candidates, route.id()).orElse(0)) / 1_000);
     }
 
     /** Returns whether another target of a service admits calls. */
@@ -194,9 +188,7 @@
                 .anyMatch(
                         candidate ->
                                 !excluded.contains(candidate.host())
-                                        && catalogue.isInService(
-                                                candidate.host(), candidate.dataCentre())
-                                        && mayRunIn(route, candidate.dataCentre()));
+                                        && isAllowed(catalogue, route, candidate));
     }
 
     /** Returns whether a call may be sent to a further target of its service. */
--- a/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
+++ b/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
@@ -66,7 +66,7 @@
     private TargetAnnouncement read(final String id, final JsonNode root) {
         final JsonNode info = root.path("info");
         final JsonNode status = root.path("status");
-        final String address = text(root, "address");
+        final String address = FieldText.of(root, "address");
         if (!mTargetAddress.isEmpty() && !mTargetAddress.equals(address)) {
             throw new IllegalArgumentException(
                     "address " + address + " is not that of the worker here, " + mTargetAddress);
@@ -76,7 +76,7 @@
         }
         final int slots = (int) integer(info, "slots");
         return new TargetAnnouncement(
-                text(info, "service"),
+                FieldText.of(info, "service"),
                 id,
                 address,
                 slots,
@@ -86,7 +86,7 @@
                 integer(root, "born"),
                 integer(status, "seqNo"),
                 mLeaseMillis,
-                isDraining(text(status, "state")),
+                isDraining(FieldText.of(status, "state")),
                 false,
                 seconds(status, "coldRemainingS"));
     }
@@ -99,14 +99,6 @@
         };
     }
 
-    private static String text(final JsonNode parent, final String field) {
-        final JsonNode node = parent.path(field);
-        if (!node.isTextual() || node.asText().isEmpty()) {
-            throw new IllegalArgumentException(field + " is no text");
-        }
-        return node.asText();
-    }
-
     private static long integer(final JsonNode parent, final String field) {
         final JsonNode node = parent.path(field);
         if (!node.isIntegralNumber() || !node.canConvertToLong()) {
--- a/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
@@ -101,7 +101,7 @@
 
     private static ServiceEntry entry(final JsonNode service) {
         return ServiceEntry.of(
-                text(service, "name"),
+                FieldText.of(service, "name"),
                 new TargetFacts(
                         service.path("maxConnections").asInt(),
                         millis(service, "coldStartS", 0),
@@ -122,9 +122,9 @@
         final long timeoutMillis = millis(route, "timeoutS", 0);
         return new Route(
                 host.toLowerCase(Locale.ROOT),
-                text(route, "pathPrefix"),
+                FieldText.of(route, "pathPrefix"),
                 parts(route),
-                runRule(text(route, "type")),
+                runRule(FieldText.of(route, "type")),
                 timeoutMillis,
                 millis(route, "targetLatencyS", timeoutMillis),
                 Math.max(1, route.path("attempts").asInt(1)),
@@ -143,10 +143,12 @@
     private static List<WeightedService> parts(final JsonNode route) {
         final List<WeightedService> parts = new ArrayList<>();
         for (final JsonNode part : route.path("trafficSplit")) {
-            parts.add(new WeightedService(text(part, "service"), part.path("weight").asDouble()));
+            parts.add(
+                    new WeightedService(
+                            FieldText.of(part, "service"), part.path("weight").asDouble()));
         }
         if (parts.isEmpty()) {
-            parts.add(new WeightedService(text(route, "service"), 1));
+            parts.add(new WeightedService(FieldText.of(route, "service"), 1));
         }
         return parts;
     }
@@ -159,14 +161,6 @@
 
     // -- values
 
-    private static String text(final JsonNode parent, final String field) {
-        final JsonNode node = parent.path(field);
-        if (!node.isTextual() || node.asText().isEmpty()) {
-            throw new IllegalArgumentException(field + " is no text");
-        }
-        return node.asText();
-    }
-
     private static long millis(final JsonNode parent, final String field, final long fallback) {
         final JsonNode node = parent.path(field);
         return node.isNumber() ? Math.round(node.asDouble() * 1_000) : fallback;
--- a/src/main/java/io/bilberrylane/policy/ColdRate.java
+++ b/src/main/java/io/bilberrylane/policy/ColdRate.java
@@ -23,16 +23,17 @@
      * Sets the bounds of a second.
      *
      * @param bounds what the fleet keeps within
-     * @param coldPerSecond calls per second that a cold target bears; 0 without a limit
+     * @param coldRatePerSecond calls per second that a cold target bears; 0 without a limit
      */
-    void bound(final FleetBounds bounds, final double coldPerSecond) {
-        if (coldPerSecond <= 0) {
+    void bound(final FleetBounds bounds, final double coldRatePerSecond) {
+        if (coldRatePerSecond <= 0) {
             mColdLimit = 0;
             mUnknownLimit = 0;
             return;
         }
-        final double most = coldPerSecond * bounds.coldOverage() + bounds.coldSlack() - RATE_MARGIN;
-        mColdLimit = Math.max(1, (int) Math.floor(coldPerSecond));
+        final double most =
+                coldRatePerSecond * bounds.coldOverage() + bounds.coldSlack() - RATE_MARGIN;
+        mColdLimit = Math.max(1, (int) Math.floor(coldRatePerSecond));
         mUnknownLimit = Math.max(mColdLimit, (int) Math.floor(most));
     }
 
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -199,10 +199,10 @@
      * Sets how many calls the target may get in a second.
      *
      * @param bounds what the fleet keeps within
-     * @param coldPerSecond calls per second that a cold target bears; 0 without a limit
+     * @param coldRatePerSecond calls per second that a cold target bears; 0 without a limit
      */
-    public void boundRates(final FleetBounds bounds, final double coldPerSecond) {
-        mRate.bound(bounds, coldPerSecond);
+    public void boundRates(final FleetBounds bounds, final double coldRatePerSecond) {
+        mRate.bound(bounds, coldRatePerSecond);
     }
 
     /**
--- a/src/main/java/io/bilberrylane/policy/LoadTable.java
+++ b/src/main/java/io/bilberrylane/policy/LoadTable.java
@@ -1,8 +1,10 @@
 package io.bilberrylane.policy;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * What one ingress knows of targets: their last told load, corrected by the calls it has sent
@@ -135,6 +137,20 @@
         return entry == null ? 0 : entry.mServiceMicros.getOrDefault(route, 0L);
     }
 
+    /**
+     * Returns the mean time that targets tell for calls of a route.
+     *
+     * @param candidates the targets
+     * @param route the route
+     * @return microseconds at normal speed, or nothing when none told
+     */
+    public OptionalDouble usualMicros(final List<Candidate> candidates, final int route) {
+        return candidates.stream()
+                .mapToLong(candidate -> serviceMicros(candidate.host(), route))
+                .filter(micros -> micros > 0)
+                .average();
+    }
+
     /**
      * Returns the last told speed of a target.
      *
--- a/src/main/java/io/bilberrylane/policy/TargetSelector.java
+++ b/src/main/java/io/bilberrylane/policy/TargetSelector.java
@@ -103,7 +103,8 @@
                 (isNear ? near : far).add(candidate);
             }
         }
-        final double usual = usualMicros(candidates, need);
+        final double usual =
+                mLoads.usualMicros(candidates, need.route()).orElse(DEFAULT_SERVICE_MICROS);
         Candidate best = best(near, near.size(), null, need, usual, nowNanos);
         if (!nearAccepts || need.mayGoFar() && !need.staysNear()) {
             best = best(far, DRAWN, best, need, usual, nowNanos);
@@ -111,15 +112,6 @@
         return Optional.ofNullable(best);
     }
 
-    /** Returns the mean time that targets tell for calls of this route. */
-    private double usualMicros(final List<Candidate> candidates, final CallNeed need) {
-        return candidates.stream()
-                .mapToLong(candidate -> mLoads.serviceMicros(candidate.host(), need.route()))
-                .filter(micros -> micros > 0)
-                .average()
-                .orElse(DEFAULT_SERVICE_MICROS);
-    }
-
     /**
      * Returns the expected time until a call at a target would be answered.
      *
--- a/src/test/java/io/bilberrylane/base/PlatformNamesTest.java
+++ b/src/test/java/io/bilberrylane/base/PlatformNamesTest.java
@@ -35,7 +35,8 @@
                     "waitMs",
                     "evacuations",
                     "maxConnections",
-                    "coldPerS\"",
+                    "coldPerS",
+                    "healthPath",
                     "seqNo",
                     "allowedRegions");
 
--- a/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
+++ b/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
@@ -36,7 +36,7 @@
                     """
                     schema: 1
                     services:
-                      - {service: a, owner: o, targets: {coldPerSecond: 7.5, healthPath: /h}}
+                      - {service: a, owner: o, targets: {coldRatePerSecond: 7.5, probePath: /h}}
                       - {service: b, owner: o}
                     routes:
                       - {host: X.example, pathPrefix: /u/, run: once, timeoutMillis: 900,
--- a/src/test/java/io/bilberrylane/platform/PlatformConfigurationFormatTest.java
+++ b/src/test/java/io/bilberrylane/platform/PlatformConfigurationFormatTest.java
@@ -51,7 +51,7 @@
             assertThat(route.attempts()).isEqualTo(2);
             assertThat(route.serviceAt(0.99)).isEqualTo("a");
             assertThat(catalogue.callerLimits().idleTimeoutMillis()).isEqualTo(1_500);
-            assertThat(catalogue.service("a").orElseThrow().targets().coldPerSecond())
+            assertThat(catalogue.service("a").orElseThrow().targets().coldRatePerSecond())
                     .isEqualTo(7.1);
         }
 
