Hash a call for the quarantine only while one may hold it; drop a dead query

Work on every call that need not be there, found on reading: the fingerprint was computed for each offered call although nothing was in quarantine. Catalogue.routes had no caller.

--- a/src/main/java/io/bilberrylane/catalogue/Catalogue.java
+++ b/src/main/java/io/bilberrylane/catalogue/Catalogue.java
@@ -195,15 +195,6 @@
         return mCallerLimits;
     }
 
-    /**
-     * Returns the routes that the catalogue names, besides those of the entries' own hosts.
-     *
-     * @return the routes in the catalogue's order
-     */
-    public List<Route> routes() {
-        return mRoutes;
-    }
-
     /**
      * Returns the names of all entries.
      *
--- a/src/main/java/io/bilberrylane/node/CrashWatch.java
+++ b/src/main/java/io/bilberrylane/node/CrashWatch.java
@@ -57,7 +57,12 @@
         return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
     }
 
-    boolean isBlocked(final long fingerprint) {
+    /** Returns whether a call is in quarantine; hashes it only while any call may be. */
+    boolean isBlocked(final CallHead head, final String callerHeader) {
+        if (mLock.get(mQuarantine::isEmpty)) {
+            return false;
+        }
+        final long fingerprint = fingerprint(head, callerHeader);
         return mLock.get(() -> mQuarantine.isBlocked(fingerprint, System.nanoTime()));
     }
 
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -351,8 +351,7 @@
 
     private boolean isQuarantined(final CallHead head) {
         final CrashWatch crashes = mCrashes;
-        return crashes != null
-                && crashes.isBlocked(CrashWatch.fingerprint(head, names().callerService()));
+        return crashes != null && crashes.isBlocked(head, names().callerService());
     }
 
     HeaderNames names() {
--- a/src/main/java/io/bilberrylane/policy/Quarantine.java
+++ b/src/main/java/io/bilberrylane/policy/Quarantine.java
@@ -57,6 +57,15 @@
         return blocks;
     }
 
+    /**
+     * Returns whether no call was beside a crash lately, so that none can be refused.
+     *
+     * @return true when nothing is held
+     */
+    public boolean isEmpty() {
+        return mRecords.isEmpty();
+    }
+
     /**
      * Returns whether a call is to be refused.
      *
