--- a/src/main/java/io/bilberrylane/net/Transport.java
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.net;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
@@ -23,6 +24,8 @@
 /** The event loops and the channel types that the operating system supports. */
 public final class Transport implements AutoCloseable {
     /** A connection whose peer does not respond at all is closed after about this time. */
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private static final int USER_TIMEOUT_MILLIS = 2_500;
 
     private static final int KEEP_ALIVE_SECONDS = 1;
@@ -51,6 +54,26 @@
     }
 
     /**
+    /**
+     * Returns whether the transport uses epoll through Netty's native library.
+     *
+     * @return false if it uses the JDK's selectors, which cannot bound unacknowledged data
+     */
+    public boolean isEpoll() {
+        return mEpoll;
+    }
+
+    /** Logs which implementation is in use, and why epoll is not if it is not. */
+    public void logImplementation() {
+        if (mEpoll) {
+            LOGGER.atInfo().log("network transport: epoll");
+        } else {
+            LOGGER.atWarning().log(
+                    "network transport: NIO, because epoll is not available: %s",
+                    Epoll.unavailabilityCause());
+        }
+    }
+
      * Returns the event loops.
      *
      * @return an event loop group
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -64,6 +64,7 @@
     /**
      * Starts a node.
      *
+        mTransport.logImplementation();
      * @param settings the settings of the node
      * @return the running node
      */
