Apply an accepted configuration as far as it is understood; large responses stay near

Ruled out: only adding the type, since the next unknown one would do the same. Change: an unknown type runs at most once; a route that cannot be read is refused (route-unusable) and never falls to the next shorter prefix; findings are logged, counted and shown by ctl status; nothing usable, or an older version, is still ignored; the product's own format stays all or nothing. Routes have largeResponses, in the own format too.

--- a/src/main/java/io/bilberrylane/base/ErrorCode.java
+++ b/src/main/java/io/bilberrylane/base/ErrorCode.java
@@ -62,6 +62,8 @@
     KEY_OUTCOME_UNKNOWN(409, 1),
     /** The node has no configuration yet. */
     NOT_READY(503, 1),
+    /** The route of the request is in the configuration, but cannot be understood. */
+    ROUTE_UNUSABLE(503, 1),
     /** Every attempted target reported that it refused the call without running it. */
     TARGET_REFUSED(503, 1),
     /** An object or a response of the platform cannot be decoded. */
--- a/src/main/java/io/bilberrylane/base/Finding.java
+++ b/src/main/java/io/bilberrylane/base/Finding.java
@@ -31,6 +31,18 @@
         return new Finding(Severity.ERROR, place, code, message);
     }
 
+    /**
+     * Returns a finding of severity WARNING.
+     *
+     * @param place the location
+     * @param code a stable code
+     * @param message the fault
+     * @return the finding
+     */
+    public static Finding warning(final String place, final String code, final String message) {
+        return new Finding(Severity.WARNING, place, code, message);
+    }
+
     /**
      * Formats the finding as one line.
      *
--- a/src/main/java/io/bilberrylane/catalogue/Catalogue.java
+++ b/src/main/java/io/bilberrylane/catalogue/Catalogue.java
@@ -20,6 +20,7 @@
 
     private final Map<String, ServiceEntry> mEntriesByService;
     private final List<Route> mRoutes;
+    private final List<UnusableRoute> mUnusableRoutes;
     private final RouteTable mRouteTable;
     private final CallerLimits mCallerLimits;
     private final Set<String> mDataCentresOut;
@@ -28,12 +29,14 @@
     private Catalogue(
             final Map<String, ServiceEntry> entries,
             final List<Route> routes,
+            final List<UnusableRoute> unusableRoutes,
             final CallerLimits callerLimits,
             final Set<String> dataCentresOut,
             final Set<String> targetsOut) {
         mEntriesByService = entries;
         mRoutes = routes;
-        mRouteTable = RouteTable.of(withDefaultRoutes(routes, entries.values()));
+        mUnusableRoutes = unusableRoutes;
+        mRouteTable = RouteTable.of(withDefaultRoutes(routes, entries.values()), unusableRoutes);
         mCallerLimits = callerLimits;
         mDataCentresOut = Set.copyOf(dataCentresOut);
         mTargetsOut = Set.copyOf(targetsOut);
@@ -60,7 +63,8 @@
                 Math.min(timeoutMillis, entry.objectives().latencyMillis()),
                 DEFAULT_ATTEMPTS,
                 entry.serviceClass().ordinal(),
-                Set.of());
+                Set.of(),
+                false);
     }
 
     /**
@@ -76,6 +80,7 @@
     public static final class Builder {
         private final Map<String, ServiceEntry> mEntries = new LinkedHashMap<>();
         private final List<Route> mRoutes = new ArrayList<>();
+        private final List<UnusableRoute> mUnusableRoutes = new ArrayList<>();
         private CallerLimits mCallerLimits = CallerLimits.DEFAULT;
         private Set<String> mDataCentresOut = Set.of();
         private Set<String> mTargetsOut = Set.of();
@@ -104,6 +109,18 @@
             return this;
         }
 
+        /**
+         * Adds a route that cannot be understood. Its requests are refused, rather than sent to the
+         * route with the next shorter prefix.
+         *
+         * @param route the host and the path prefix of the route
+         * @return this builder
+         */
+        public Builder unusableRoute(final UnusableRoute route) {
+            mUnusableRoutes.add(route);
+            return this;
+        }
+
         /**
          * Sets the limits on callers' requests.
          *
@@ -137,6 +154,7 @@
             return new Catalogue(
                     Map.copyOf(mEntries),
                     List.copyOf(mRoutes),
+                    List.copyOf(mUnusableRoutes),
                     mCallerLimits,
                     mDataCentresOut,
                     mTargetsOut);
@@ -162,7 +180,8 @@
     public Catalogue withDataCentresOut(final Set<String> dataCentres) {
         final Set<String> all = new HashSet<>(mDataCentresOut);
         all.addAll(dataCentres);
-        return new Catalogue(mEntriesByService, mRoutes, mCallerLimits, all, mTargetsOut);
+        return new Catalogue(
+                mEntriesByService, mRoutes, mUnusableRoutes, mCallerLimits, all, mTargetsOut);
     }
 
     // -- queries
@@ -182,12 +201,35 @@
      *
      * @param host the value of the Host header, with or without a port
      * @param path the request path, without the query
-     * @return the route with the longest matching path prefix, or empty if none matches
+     * @return the route with the longest matching path prefix, or that there is none
      */
-    public Optional<Route> route(final String host, final String path) {
+    public RouteMatch match(final String host, final String path) {
         final int colon = host.lastIndexOf(':');
         final String hostName = colon < 0 ? host : host.substring(0, colon);
-        return mRouteTable.find(hostName.toLowerCase(Locale.ROOT), path);
+        return mRouteTable.match(hostName.toLowerCase(Locale.ROOT), path);
+    }
+
+    /**
+     * Returns the usable route for a caller's request.
+     *
+     * @param host the value of the Host header, with or without a port
+     * @param path the request path, without the query
+     * @return the route with the longest matching path prefix, or empty if there is none or it
+     *     cannot be used
+     */
+    public Optional<Route> route(final String host, final String path) {
+        return match(host, path) instanceof RouteMatch.Found found
+                ? Optional.of(found.route())
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether the catalogue has a route besides the default ones of its entries.
+     *
+     * @return true if at least one usable route is listed
+     */
+    public boolean hasRoutes() {
+        return !mRoutes.isEmpty();
     }
 
     /**
--- a/src/main/java/io/bilberrylane/catalogue/CatalogueCheck.java
+++ b/src/main/java/io/bilberrylane/catalogue/CatalogueCheck.java
@@ -12,8 +12,10 @@
  *
  * @param catalogue the catalogue; incomplete if there are errors
  * @param findings all findings, in the order in which they were found
+ * @param partial whether the catalogue may be applied without the elements that have errors,
+ *     because its author has no way to correct them
  */
-public record CatalogueCheck(Catalogue catalogue, List<Finding> findings) {
+public record CatalogueCheck(Catalogue catalogue, List<Finding> findings, boolean partial) {
     /** Checks for null and copies the findings. */
     public CatalogueCheck {
         Objects.requireNonNull(catalogue, "catalogue is null");
@@ -21,7 +23,38 @@
     }
 
     /**
-     * Returns whether the catalogue may be applied.
+     * Returns the result of a check whose catalogue is applied as a whole or not at all.
+     *
+     * @param catalogue the catalogue; incomplete if there are errors
+     * @param findings all findings, in the order in which they were found
+     * @return the result
+     */
+    public static CatalogueCheck whole(final Catalogue catalogue, final List<Finding> findings) {
+        return new CatalogueCheck(catalogue, findings, false);
+    }
+
+    /**
+     * Returns the result of a check whose catalogue is applied as far as it is understood.
+     *
+     * @param catalogue everything that was understood
+     * @param findings all findings, in the order in which they were found
+     * @return the result
+     */
+    public static CatalogueCheck partial(final Catalogue catalogue, final List<Finding> findings) {
+        return new CatalogueCheck(catalogue, findings, true);
+    }
+
+    /**
+     * Returns whether a node may apply the catalogue.
+     *
+     * @return true if it has no errors, or if it may be applied in part and holds a route
+     */
+    public boolean isApplicable() {
+        return isValid() || partial && catalogue.hasRoutes();
+    }
+
+    /**
+     * Returns whether the catalogue has no errors.
      *
      * @return false if any finding is an error
      */
--- a/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
+++ b/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
@@ -44,9 +44,9 @@
                         .read(text)
                         .flatMap(node -> MappingReader.of(node, "the catalogue", mFindings));
         if (root.isEmpty()) {
-            return new CatalogueCheck(Catalogue.empty(), mFindings);
+            return CatalogueCheck.whole(Catalogue.empty(), mFindings);
         }
-        return new CatalogueCheck(readCatalogue(root.get()), mFindings);
+        return CatalogueCheck.whole(readCatalogue(root.get()), mFindings);
     }
 
     private Catalogue readCatalogue(final MappingReader root) {
--- a/src/main/java/io/bilberrylane/catalogue/MappingReader.java
+++ b/src/main/java/io/bilberrylane/catalogue/MappingReader.java
@@ -66,6 +66,24 @@
                 .orElse(defaultValue);
     }
 
+    boolean flag(final String field, final boolean defaultValue) {
+        final Optional<String> text = text(field);
+        if (text.isEmpty()) {
+            return defaultValue;
+        }
+        return switch (text.get().trim()) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> {
+                error(
+                        mMapping.fields().get(field).value().place(),
+                        "not-a-flag",
+                        "field '" + field + "' must be true or false, not '" + text.get() + "'");
+                yield defaultValue;
+            }
+        };
+    }
+
     List<PlacedNode> items(final String field) {
         final Optional<PlacedNode> found = node(field);
         if (found.isEmpty()) {
--- a/src/main/java/io/bilberrylane/catalogue/Route.java
+++ b/src/main/java/io/bilberrylane/catalogue/Route.java
@@ -18,6 +18,8 @@
  * @param attempts the maximum number of targets that one call may be sent to
  * @param priority the priority in queues; 0 is served first
  * @param regions the regions in which calls may run; empty allows every region
+ * @param largeResponses whether responses are large, so that targets of the caller's data centre
+ *     are preferred
  */
 public record Route(
         String host,
@@ -28,7 +30,8 @@
         long objectiveMillis,
         int attempts,
         int priority,
-        Set<String> regions) {
+        Set<String> regions,
+        boolean largeResponses) {
     /**
      * Checks the components and copies the collections.
      *
--- a/src/main/java/io/bilberrylane/catalogue/RouteReader.java
+++ b/src/main/java/io/bilberrylane/catalogue/RouteReader.java
@@ -44,6 +44,7 @@
         final int attempts = (int) mapping.number("attempts", DEFAULT_ATTEMPTS, 1, MAX_ATTEMPTS);
         final int priority = (int) mapping.number("priority", 1, 0, MAX_PRIORITY);
         final Set<String> regions = new HashSet<>(mapping.texts("regions"));
+        final boolean largeResponses = mapping.flag("largeResponses", false);
         mapping.reportUnknownFields();
         if (mFindings.size() > findingsBefore) {
             return Optional.empty();
@@ -58,7 +59,8 @@
                         objectiveMillis,
                         attempts,
                         priority,
-                        regions));
+                        regions,
+                        largeResponses));
     }
 
     private void checkPrefix(final MappingReader mapping, final String host, final String prefix) {
--- a/src/main/java/io/bilberrylane/ctl/FleetStatus.java
+++ b/src/main/java/io/bilberrylane/ctl/FleetStatus.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * The status that each queried node reports.
@@ -62,6 +65,14 @@
                             node.inFlight() + "/" + node.allowance(),
                             state(node)));
         }
+        distinctFindings()
+                .forEach(
+                        (line, count) ->
+                                text.append("not understood by ")
+                                        .append(count)
+                                        .append(" nodes: ")
+                                        .append(line)
+                                        .append('\n'));
         text.append(
                 isInForceEverywhere()
                         ? "revision " + newestRevision() + " is in force on every asked node\n"
@@ -69,6 +80,13 @@
         return text.toString();
     }
 
+    /** Returns each finding with the number of nodes that report it, in order of the findings. */
+    private Map<String, Long> distinctFindings() {
+        return nodes.stream()
+                .flatMap(node -> node.findings().stream())
+                .collect(Collectors.groupingBy(line -> line, TreeMap::new, Collectors.counting()));
+    }
+
     private String state(final NodeStatus node) {
         if (!node.reachable()) {
             return "unreachable at " + node.address();
--- a/src/main/java/io/bilberrylane/ctl/FleetStatusReader.java
+++ b/src/main/java/io/bilberrylane/ctl/FleetStatusReader.java
@@ -58,12 +58,15 @@
             final String status = member.path("status").asText();
             presentMembers += status.equals("ALIVE") || status.equals("SUSPECT") ? 1 : 0;
         }
+        final List<String> findings = new ArrayList<>();
+        root.path("configurationFindings").forEach(line -> findings.add(line.asText()));
         return new NodeStatus(
                 address.toString(),
                 true,
                 root.path("host").asText(),
                 root.path("dataCentre").asText(),
                 root.path("configurationRevision").asLong(),
+                findings,
                 presentMembers,
                 root.path("load").path("inFlight").asInt(),
                 root.path("load").path("allowance").asInt());
--- a/src/main/java/io/bilberrylane/ctl/NodeStatus.java
+++ b/src/main/java/io/bilberrylane/ctl/NodeStatus.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.ctl;
 
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -10,6 +11,7 @@
  * @param host the host of the node; "?" if unreachable
  * @param dataCentre the data centre of the node; "?" if unreachable
  * @param revision the revision of the node's active configuration; 0 if unreachable
+ * @param findings what the node does not understand of its active configuration, a line each
  * @param presentMembers the members that the node considers alive or suspect
  * @param inFlight the requests in service at its target
  * @param allowance the limit on requests in service at its target
@@ -20,6 +22,7 @@
         String host,
         String dataCentre,
         long revision,
+        List<String> findings,
         int presentMembers,
         int inFlight,
         int allowance) {
@@ -28,9 +31,10 @@
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(dataCentre, "dataCentre is null");
+        findings = List.copyOf(findings);
     }
 
     static NodeStatus unreachable(final String address) {
-        return new NodeStatus(address, false, "?", "?", 0, 0, 0, 0);
+        return new NodeStatus(address, false, "?", "?", 0, List.of(), 0, 0, 0);
     }
 }
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -5,6 +5,7 @@
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.Limits;
 import io.bilberrylane.catalogue.Route;
+import io.bilberrylane.catalogue.RouteMatch;
 import io.bilberrylane.catalogue.ServiceEntry;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.BodySink;
@@ -49,6 +50,7 @@
 
     private static final long LINGER_MILLIS = 1_000;
     private static final long NOT_READY_RETRY_MILLIS = 300;
+    private static final long UNUSABLE_RETRY_MILLIS = 1_000;
     private static final long LEAVING_RETRY_MILLIS = 100;
 
     private final ChannelHandlerContext mCtx;
@@ -86,14 +88,13 @@
     // -- start
 
     void start() {
-        final long bodyBytes = mHead.bodyBytes();
         if (mSettings.localEndpoint().isPresent()
                 && mRequest.uri().startsWith(mSettings.localPrefix())) {
             mBodyLimitBytes = LocalEndpoint.MAX_BODY_BYTES;
             mBodySink =
                     LocalExchange.open(
                             mSettings.localEndpoint().get(), mHead.toLocalCallHead(), this);
-            startReading(bodyBytes);
+            startReading(mHead.bodyBytes());
             return;
         }
         if (mSettings.isRefusing()) {
@@ -102,26 +103,35 @@
         }
         final Catalogue catalogue = mSettings.catalogue().get();
         final String path = mRequest.uri().split("\\?", 2)[0];
-        final Optional<Route> route = route(catalogue, path);
-        if (route.isEmpty()) {
-            final boolean ready = !catalogue.services().isEmpty();
-            refuse(
-                    ready ? ErrorCode.SERVICE_NOT_FOUND : ErrorCode.NOT_READY,
-                    true,
-                    ready ? 0 : NOT_READY_RETRY_MILLIS);
-            return;
+        switch (match(catalogue, path)) {
+            case RouteMatch.Found found -> routeCall(catalogue, found.route(), path);
+            case RouteMatch.Unusable unusable ->
+                    refuse(ErrorCode.ROUTE_UNUSABLE, true, UNUSABLE_RETRY_MILLIS);
+            case RouteMatch.None none -> refuseUnknown(catalogue);
         }
-        mService = route.get().selectService(mHandler.randomFraction());
+    }
+
+    private void refuseUnknown(final Catalogue catalogue) {
+        if (catalogue.services().isEmpty()) {
+            refuse(ErrorCode.NOT_READY, true, NOT_READY_RETRY_MILLIS);
+        } else {
+            refuse(ErrorCode.SERVICE_NOT_FOUND, true, 0);
+        }
+    }
+
+    private void routeCall(final Catalogue catalogue, final Route route, final String path) {
+        mService = route.selectService(mHandler.randomFraction());
         final Optional<ServiceEntry> entry = catalogue.service(mService);
         final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
         mBodyLimitBytes = Math.min(limits.bodyBytes(), catalogue.callerLimits().bodyBytes());
+        final long bodyBytes = mHead.bodyBytes();
         if (bodyBytes > mBodyLimitBytes) {
             refuse(ErrorCode.BODY_TOO_LARGE, true, 0);
             return;
         }
-        final boolean idempotent = isIdempotent(route.get(), entry, path);
-        final CallHead call = mHead.toCallHead(mService, idempotent, route.get());
-        mBodySink = mSettings.router().route(route.get(), call, mCtx.executor(), this);
+        final boolean idempotent = isIdempotent(route, entry, path);
+        final CallHead call = mHead.toCallHead(mService, idempotent, route);
+        mBodySink = mSettings.router().route(route, call, mCtx.executor(), this);
         startReading(bodyBytes);
     }
 
@@ -150,9 +160,9 @@
         }
     }
 
-    private Optional<Route> route(final Catalogue catalogue, final String path) {
+    private RouteMatch match(final Catalogue catalogue, final String path) {
         final String host = mRequest.headers().get(HttpHeaderNames.HOST, "");
-        return catalogue.route(mRequest.headers().get(Headers.SERVICE, host), path);
+        return catalogue.match(mRequest.headers().get(Headers.SERVICE, host), path);
     }
 
     // -- request
--- a/src/main/java/io/bilberrylane/node/ConfigurationService.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationService.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Suppliers;
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.Finding;
 import io.bilberrylane.base.LockRank;
 import io.bilberrylane.base.RankedLock;
 import io.bilberrylane.catalogue.Catalogue;
@@ -12,6 +13,7 @@
 import io.bilberrylane.peer.PeerLinks;
 import io.bilberrylane.peer.PeerMessage;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,6 +26,7 @@
  */
 public final class ConfigurationService {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_LISTED_FINDINGS = 20;
     private static final long NOT_PULLING = Long.MIN_VALUE;
     private static final long PULL_TIMEOUT_MILLIS = 2_000;
 
@@ -37,6 +40,7 @@
     private record Snapshot(
             ConfigurationVersion version,
             Supplier<CompressedText> compressedText,
+            List<Finding> findings,
             Catalogue baseCatalogue,
             Set<String> outages,
             Catalogue effectiveCatalogue) {
@@ -44,24 +48,27 @@
                 new Snapshot(
                         ConfigurationVersion.NONE,
                         () -> CompressedText.EMPTY,
+                        List.of(),
                         Catalogue.empty(),
                         Set.of(),
                         Catalogue.empty());
 
         private Snapshot withCatalogue(
-                final long revision, final String newText, final Catalogue newCatalogue) {
+                final long revision, final String newText, final CatalogueCheck check) {
             return new Snapshot(
                     new ConfigurationVersion(revision, version.outages()),
                     Suppliers.memoize(() -> CompressedText.of(newText)),
-                    newCatalogue,
+                    check.findings(),
+                    check.catalogue(),
                     outages,
-                    newCatalogue.withDataCentresOut(outages));
+                    check.catalogue().withDataCentresOut(outages));
         }
 
         private Snapshot withOutages(final long revision, final Set<String> newOutages) {
             return new Snapshot(
                     new ConfigurationVersion(version.catalogue(), revision),
                     compressedText,
+                    findings,
                     baseCatalogue,
                     newOutages,
                     baseCatalogue.withDataCentresOut(newOutages));
@@ -121,6 +128,15 @@
         return version.catalogue() > 0 && (version.outages() > 0 || mFormat.outageKind().isEmpty());
     }
 
+    /**
+     * Returns the findings of the active catalogue: what was left out or is not fully understood.
+     *
+     * @return the findings; empty if the catalogue is applied as it was written
+     */
+    public List<Finding> findings() {
+        return mSnapshot.findings();
+    }
+
     PeerMessage.ConfigurationReply replyTo(final PeerMessage.ConfigurationPull pull) {
         final Snapshot snapshot = mSnapshot;
         final boolean newer = snapshot.version().catalogue() > pull.known().catalogue();
@@ -128,7 +144,7 @@
                 pull.requestId(),
                 snapshot.version(),
                 newer ? snapshot.compressedText().get() : CompressedText.EMPTY,
-                java.util.List.copyOf(new TreeSet<>(snapshot.outages())));
+                List.copyOf(new TreeSet<>(snapshot.outages())));
     }
 
     // -- changes
@@ -145,9 +161,10 @@
             return false;
         }
         final CatalogueCheck check = mFormat.check("configuration@" + revision, text);
-        if (!check.isValid()) {
+        if (!check.isApplicable()) {
             LOGGER.atSevere().log(
-                    "configuration %d is invalid and was ignored: %s", revision, check.findings());
+                    "configuration %d is invalid and was ignored: %s",
+                    revision, firstLines(check.findings()));
             return false;
         }
         return publishIfApplied(
@@ -156,11 +173,24 @@
                             if (revision <= mSnapshot.version().catalogue()) {
                                 return false;
                             }
-                            mSnapshot = mSnapshot.withCatalogue(revision, text, check.catalogue());
+                            mSnapshot = mSnapshot.withCatalogue(revision, text, check);
+                            logFindings(revision, check.findings());
                             return true;
                         }));
     }
 
+    private static void logFindings(final long revision, final List<Finding> findings) {
+        if (!findings.isEmpty()) {
+            LOGGER.atWarning().log(
+                    "configuration %d is applied in part, with %d findings: %s",
+                    revision, findings.size(), firstLines(findings));
+        }
+    }
+
+    private static List<String> firstLines(final List<Finding> findings) {
+        return findings.stream().limit(MAX_LISTED_FINDINGS).map(Finding::line).toList();
+    }
+
     /**
      * Applies the set of data centres that are out of service, if its revision is newer and the set
      * differs from the active one.
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -199,6 +199,10 @@
                 () -> mGate.load().inFlight());
         mMetrics.gauge(
                 "bilberrylane.gate.allowance",
+        mMetrics.gauge(
+                "bilberrylane.configuration.findings",
+                "Elements of the configuration in force that are not understood",
+                () -> mConfiguration.findings().size());
                 "Requests that may be in service at the target",
                 () -> mGate.load().allowance());
         mMetrics.gauge(
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -78,11 +78,17 @@
                 new SelectionCriteria(
                         route.id(),
                         head.objectiveMillis() * 1_000.0,
-                        head.bodyBytes() < 0 || head.bodyBytes() > LARGE_BODY_BYTES,
+                        hasLargeBody(route, head),
                         true);
         mPlan = CallPlan.of(head.timeoutMillis(), head.objectiveMillis(), route.attempts());
     }
 
+    private static boolean hasLargeBody(final Route route, final CallHead head) {
+        return route.largeResponses()
+                || head.bodyBytes() < 0
+                || head.bodyBytes() > LARGE_BODY_BYTES;
+    }
+
     // -- attempts
 
     void start() {
--- a/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
@@ -12,6 +12,7 @@
 import io.bilberrylane.catalogue.RunRule;
 import io.bilberrylane.catalogue.ServiceEntry;
 import io.bilberrylane.catalogue.TargetParameters;
+import io.bilberrylane.catalogue.UnusableRoute;
 import io.bilberrylane.catalogue.WeightedService;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -28,18 +29,22 @@
  *   <li>{@code evacuations}: the kind of the objects that take a data centre out of service
  *   <li>{@code version} in the value: the ID of the operator's change, not the object's version
  *   <li>{@code targetLatencyS}: the latency objective of a route, not a latency of a target
- *   <li>{@code type}: the run rule of a route; {@code safe} calls are repeatable, {@code unsafe}
- *       and {@code upload} run at most once
+ *   <li>{@code type}: the run rule of a route; {@code safe} and {@code download} calls are
+ *       repeatable, all others run at most once; {@code download} has large responses
  *   <li>{@code attempts}: the maximum number of targets that one call may be sent to
  *   <li>{@code coldStartS}: how long a started target stays cold, in seconds
  *   <li>{@code coldPerS}: the requests per second that a cold target accepts; 0 if unlimited
  *   <li>{@code healthPath}: the path on which targets are probed for their state
  * </ul>
+ *
+ * <p>The platform has accepted the document before nodes read it, so an element that cannot be
+ * understood is left out with a finding, and the rest is applied.
  */
 final class PlatformConfigurationFormat implements ConfigurationFormat {
     private static final String KIND = "config";
     private static final String NAME = "main";
     private static final String OUTAGE_KIND = "evacuations";
+    private static final double MAX_SECONDS = 86_400;
 
     @Override
     public String kind() {
@@ -72,7 +77,7 @@
         } catch (BilberrylaneException e) {
             findings.add(Finding.error(place, "unreadable", e.getMessage()));
         }
-        return new CatalogueCheck(builder.build(), findings);
+        return CatalogueCheck.partial(builder.build(), findings);
     }
 
     private static void read(
@@ -80,8 +85,11 @@
             final JsonNode root,
             final Catalogue.Builder builder,
             final List<Finding> findings) {
+        if (!root.path("services").isArray()) {
+            findings.add(Finding.error(place, "missing-field", "field 'services' is required"));
+        }
         int index = 0;
-        for (final JsonNode service : root.path("services")) {
+        for (final JsonNode service : elements(root, "services", place, findings)) {
             final String elementPlace = place + " services[" + index++ + "]";
             collectFinding(elementPlace, findings, () -> builder.entry(entry(service)));
         }
@@ -90,25 +98,69 @@
                 findings,
                 () -> builder.callerLimits(callerLimits(root.path("limits"))));
         index = 0;
-        for (final JsonNode virtualHost : root.path("virtualHosts")) {
-            final String host = virtualHost.path("host").asText();
-            final String elementPlace = place + " virtualHosts[" + index++ + "]";
-            int routeIndex = 0;
-            for (final JsonNode path : virtualHost.path("paths")) {
-                collectFinding(
-                        elementPlace + " paths[" + routeIndex++ + "]",
-                        findings,
-                        () -> builder.route(route(host, path)));
+        for (final JsonNode virtualHost : elements(root, "virtualHosts", place, findings)) {
+            readHost(place + " virtualHosts[" + index++ + "]", virtualHost, builder, findings);
+        }
+    }
+
+    private static void readHost(
+            final String place,
+            final JsonNode virtualHost,
+            final Catalogue.Builder builder,
+            final List<Finding> findings) {
+        int index = 0;
+        for (final JsonNode path : elements(virtualHost, "paths", place, findings)) {
+            final String elementPlace = place + " paths[" + index++ + "]";
+            final boolean read =
+                    collectFinding(
+                            elementPlace,
+                            findings,
+                            () ->
+                                    builder.route(
+                                            route(
+                                                    hostName(virtualHost),
+                                                    path,
+                                                    elementPlace,
+                                                    findings)));
+            if (!read) {
+                unusableRoute(virtualHost, path).ifPresent(builder::unusableRoute);
             }
         }
     }
 
-    private static void collectFinding(
+    private static Optional<UnusableRoute> unusableRoute(
+            final JsonNode virtualHost, final JsonNode path) {
+        final String prefix = path.path("pathPrefix").asText("");
+        return !virtualHost.path("host").asText("").isEmpty()
+                        && virtualHost.path("host").isTextual()
+                        && prefix.startsWith("/")
+                ? Optional.of(new UnusableRoute(hostName(virtualHost), prefix))
+                : Optional.empty();
+    }
+
+    /** Returns the elements of a list, or nothing with a finding if the field is no list. */
+    private static Iterable<JsonNode> elements(
+            final JsonNode parent,
+            final String field,
+            final String place,
+            final List<Finding> findings) {
+        final JsonNode node = parent.path(field);
+        if (!node.isMissingNode() && !node.isArray()) {
+            findings.add(Finding.error(place + " " + field, "not-a-list", "a list is expected"));
+            return List.of();
+        }
+        return node;
+    }
+
+    /** Returns whether an element was read without an error. */
+    private static boolean collectFinding(
             final String place, final List<Finding> findings, final Runnable reader) {
         try {
             reader.run();
+            return true;
         } catch (IllegalArgumentException e) {
             findings.add(Finding.error(place, "bad-value", e.getMessage()));
+            return false;
         }
     }
 
@@ -133,25 +185,44 @@
                 millis(limits, "idleTimeoutS", defaults.idleTimeoutMillis()));
     }
 
-    private static Route route(final String host, final JsonNode route) {
+    private static String hostName(final JsonNode virtualHost) {
+        return FieldText.of(virtualHost, "host").toLowerCase(Locale.ROOT);
+    }
+
+    private static Route route(
+            final String host,
+            final JsonNode route,
+            final String place,
+            final List<Finding> findings) {
         final long timeoutMillis = millis(route, "timeoutS", 0);
+        final String type = route.path("type").asText("");
         return new Route(
-                host.toLowerCase(Locale.ROOT),
+                host,
                 FieldText.of(route, "pathPrefix"),
                 weightedServices(route),
-                runRule(FieldText.of(route, "type")),
+                runRule(type, place, findings),
                 timeoutMillis,
                 millis(route, "targetLatencyS", timeoutMillis),
                 Math.max(1, route.path("attempts").asInt(1)),
                 Math.max(0, route.path("priority").asInt(0)),
-                regions(route));
+                regions(route),
+                type.equals("download"));
     }
 
-    private static RunRule runRule(final String type) {
+    /** Returns the run rule of a type; calls of an unknown type run at most once. */
+    private static RunRule runRule(
+            final String type, final String place, final List<Finding> findings) {
         return switch (type) {
-            case "safe" -> RunRule.REPEATABLE;
+            case "safe", "download" -> RunRule.REPEATABLE;
             case "unsafe", "upload" -> RunRule.ONCE;
-            default -> throw new IllegalArgumentException("type '" + type + "' is not supported");
+            default -> {
+                findings.add(
+                        Finding.warning(
+                                place,
+                                "unknown-type",
+                                "type '" + type + "' is unknown; its calls run at most once"));
+                yield RunRule.ONCE;
+            }
         };
     }
 
@@ -179,6 +250,13 @@
     /** Returns a field in seconds, which may have a fraction, as milliseconds. */
     private static long millis(final JsonNode parent, final String field, final long fallback) {
         final JsonNode node = parent.path(field);
-        return node.isNumber() ? Math.round(node.asDouble() * 1_000) : fallback;
+        if (!node.isNumber()) {
+            return fallback;
+        }
+        final double seconds = node.asDouble();
+        if (!(seconds >= 0 && seconds <= MAX_SECONDS)) {
+            throw new IllegalArgumentException(field + " is not from 0 to " + MAX_SECONDS);
+        }
+        return Math.round(seconds * 1_000);
     }
 }
--- a/src/test/java/io/bilberrylane/node/ConfigurationServiceTest.java
+++ b/src/test/java/io/bilberrylane/node/ConfigurationServiceTest.java
@@ -8,6 +8,7 @@
 import io.bilberrylane.peer.NodeIdentity;
 import io.bilberrylane.peer.PeerLinks;
 import io.bilberrylane.peer.PeerMessage;
+import io.bilberrylane.platform.PlatformProfile;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -47,6 +48,30 @@
         assertThat(mService.version().catalogue()).isEqualTo(5);
     }
 
+    /** The operator's store has accepted the document, so nodes apply what they understand. */
+    @Test
+    void shouldApplyWhatIsUnderstoodWhenThePlatformHasAcceptedIt() {
+        final ConfigurationService service =
+                new ConfigurationService(
+                        PlatformProfile.of("", 1_000).format(),
+                        PeerLinks.of(mTransport, new NodeIdentity("h", "dc", 1)),
+                        version -> {});
+        service.applyOutagesIfNewer(1, Set.of());
+        final String text =
+                "{'services':[{'name':'a'}],'virtualHosts':[{'host':'h','paths':["
+                        + "{'pathPrefix':'/x/','type':'odd','timeoutS':1,'service':'a'},"
+                        + "{'pathPrefix':'/y/','type':'safe','timeoutS':1},"
+                        + "{'pathPrefix':'/z/','type':'safe','timeoutS':1,'service':'a'}]}]}";
+        assertThat(service.applyIfNewer(7, text.replace('\'', '"'))).isTrue();
+        assertThat(service.catalogue().route("h", "/x/")).isPresent();
+        assertThat(service.catalogue().route("h", "/y/")).isEmpty();
+        assertThat(service.catalogue().route("h", "/z/")).isPresent();
+        assertThat(service.findings()).hasSize(2);
+        assertThat(service.applyIfNewer(6, text.replace('\'', '"'))).isFalse();
+        assertThat(service.applyIfNewer(8, "{}")).isFalse();
+        assertThat(service.version().catalogue()).isEqualTo(7);
+    }
+
     @Test
     void shouldVersionCatalogueAndOutagesIndependently() {
         mService.applyOutagesIfNewer(9, Set.of("dc-1"));
