Mend the known-red faults: slots after an abort, a dead last gate, a closing listener

A call whose caller left gave its slot back when its connection was closed, before the target had noticed. Now only the sending direction is closed; the slot is free when the target has closed the other one or answered, at the latest after 100 ms. 2. Past its objective a call asks one last gate; a gate without a target now leaves that place to another one instead of ending the call. 3. Closing a listener resets connections that wait in its queue. With epoll they are accepted first, in the same task; a connection that has sent nothing yet may send its request for 0.3 s more and gets a true refusal.

--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -21,12 +21,14 @@
 
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final Transport mTransport;
     private final IngressSettings mSettings;
     private Channel mChannel;
     private volatile boolean mLeaving;
     private volatile boolean mRefusing;
 
     private HttpServer(
+            final Transport transport,
             final HttpLimits limits,
             final Supplier<Catalogue> catalogue,
             final CallRouter router,
@@ -35,6 +37,7 @@
             final HeaderNames names,
             final String service,
             final IngressMetrics metrics) {
+        mTransport = transport;
         mSettings =
                 new IngressSettings(
                         limits,
@@ -76,6 +79,7 @@
             final IngressMetrics metrics) {
         final HttpServer server =
                 new HttpServer(
+                        transport,
                         HttpLimits.DEFAULT,
                         catalogue,
                         router,
@@ -84,7 +88,7 @@
                         names,
                         service,
                         metrics);
-        server.listen(transport, address);
+        server.listen(address);
         return server;
     }
 
@@ -114,9 +118,9 @@
                 IngressMetrics.NONE);
     }
 
-    private void listen(final Transport transport, final InetSocketAddress address) {
+    private void listen(final InetSocketAddress address) {
         mChannel =
-                transport
+                mTransport
                         .serverBootstrap()
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.AUTO_READ, false)
@@ -183,9 +187,12 @@
         mRefusing = true;
     }
 
-    /** Stops accepting connections and closes each open one as soon as it is idle. */
+    /**
+     * Stops accepting connections and closes each open one as soon as it is idle. A connection that
+     * has not sent a request yet stays open, because its request may be on the way.
+     */
     public void closeIdle() {
-        mChannel.close().syncUninterruptibly();
+        mTransport.closeListener(mChannel);
         for (final Channel connection : mConnections) {
             final IngressHandler handler = connection.pipeline().get(IngressHandler.class);
             if (handler != null) {
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -30,6 +30,7 @@
     private HttpRequest mPipelinedRequest;
     private boolean mDiscarding;
     private boolean mDecodeFailed;
+    private boolean mServed;
     private ScheduledFuture<?> mTimer;
 
     IngressHandler(final IngressSettings settings, final ResponseEncoder encoder) {
@@ -78,7 +79,7 @@
     }
 
     void closeIfIdle() {
-        if (mExchange == null && mCtx != null) {
+        if (mExchange == null && mServed && mCtx != null) {
             mCtx.close();
         }
     }
@@ -160,6 +161,7 @@
     /** Called when the exchange has ended and the connection may serve another one. */
     void onExchangeDone(final boolean bodyRemains) {
         mExchange = null;
+        mServed = true;
         if (isClosing()) {
             mCtx.close();
             return;
--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -15,15 +16,19 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A connection to a target, which serves one exchange at a time. All state is confined to its event
  * loop.
  */
 public final class TargetConnection extends ChannelInboundHandlerAdapter {
+    private static final long ABORT_TIMEOUT_MILLIS = 100;
+
     private final TargetConnectionPool mPool;
     private Channel mChannel;
     private TargetResponseListener mListener;
+    private Runnable mAbortListener;
     private boolean mSkippingInformational;
     private boolean mSkippingMismatched;
     private boolean mReusable;
@@ -119,6 +124,36 @@
         mChannel.close();
     }
 
+    /**
+     * Aborts the exchange and waits for the target to notice. Only the sending direction is closed
+     * at first, so that the end of the other one shows that the target no longer works on the
+     * request.
+     *
+     * @param onNoticed runs once, when the target has closed the connection or answered, and at the
+     *     latest after {@value #ABORT_TIMEOUT_MILLIS} ms, when the connection is closed
+     */
+    public void abort(final Runnable onNoticed) {
+        mListener = null;
+        if (!mChannel.isActive() || !(mChannel instanceof DuplexChannel duplex)) {
+            mChannel.close();
+            onNoticed.run();
+            return;
+        }
+        mAbortListener = onNoticed;
+        mChannel.config().setAutoRead(true);
+        duplex.shutdownOutput();
+        mChannel.eventLoop().schedule(this::endAbort, ABORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void endAbort() {
+        final Runnable listener = mAbortListener;
+        mAbortListener = null;
+        if (listener != null) {
+            mChannel.close();
+            listener.run();
+        }
+    }
+
     // -- events
 
     @Override
@@ -130,7 +165,10 @@
     public void channelRead(final ChannelHandlerContext ctx, final Object message) {
         if (mListener == null) {
             ReferenceCountUtil.release(message);
-            ctx.close();
+            if (mAbortListener == null || message instanceof LastHttpContent) {
+                endAbort();
+                ctx.close();
+            }
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -215,6 +253,7 @@
     @Override
     public void channelInactive(final ChannelHandlerContext ctx) {
         mPool.onClosed(this);
+        endAbort();
         fail(new ClosedChannelException());
     }
 
--- a/src/main/java/io/bilberrylane/net/Transport.java
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -23,9 +24,9 @@
 
 /** The event loops and the channel types that the operating system supports. */
 public final class Transport implements AutoCloseable {
-    /** A connection whose peer does not respond at all is closed after about this time. */
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** A connection whose peer does not respond at all is closed after about this time. */
     private static final int USER_TIMEOUT_MILLIS = 2_500;
 
     private static final int KEEP_ALIVE_SECONDS = 1;
@@ -53,7 +54,6 @@
         return new Transport(new MultiThreadIoEventLoopGroup(workers, factory), epoll);
     }
 
-    /**
     /**
      * Returns whether the transport uses epoll through Netty's native library.
      *
@@ -74,6 +74,7 @@
         }
     }
 
+    /**
      * Returns the event loops.
      *
      * @return an event loop group
@@ -108,6 +109,26 @@
                 .channel(mEpoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class);
     }
 
+    /**
+     * Closes a TCP server. With epoll, connections that wait to be accepted are accepted first:
+     * closing the server would reset them.
+     *
+     * @param server the channel that a bootstrap of this transport has bound
+     */
+    public void closeListener(final Channel server) {
+        if (server instanceof EpollServerSocketChannel listener
+                && !server.eventLoop().inEventLoop()) {
+            server.eventLoop()
+                    .submit(
+                            () -> {
+                                WaitingConnections.accept(listener);
+                                server.close();
+                            })
+                    .syncUninterruptibly();
+        }
+        server.close().syncUninterruptibly();
+    }
+
     /**
      * Returns a bootstrap for TCP clients.
      *
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -542,8 +542,8 @@
         close();
         logRun(mCancelled ? "caller-left" : "given-up");
         mKeyedRun.ifPresent(KeyedRun::markOutcomeUnknown);
-        mConnection.abort();
-        releaseSlot(healthy, healthy ? -1 : System.nanoTime() - mStartedNanos);
+        final long serviceNanos = healthy ? -1 : System.nanoTime() - mStartedNanos;
+        mConnection.abort(() -> releaseSlot(healthy, serviceNanos));
     }
 
     private void close() {
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -32,6 +32,10 @@
     private static final double DRAIN_END_FRACTION = 0.95;
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
+
+    /** How long a connection that has sent nothing stays open after the listener was closed. */
+    private static final long LAST_REQUEST_WAIT_NANOS = 300_000_000L;
+
     private final ResourceCloser mCloser = ResourceCloser.empty();
     private volatile NodeSettings mSettings;
     private final NodeIdentity mIdentity;
@@ -384,6 +388,7 @@
 
     private void sleepUntil(final long startNanos, final double fraction) {
         sleep(remainingMillis(startNanos, fraction));
+        awaitConnectionsClosed();
     }
 
     private void awaitIdle(final long startNanos, final double fraction) {
@@ -402,6 +407,15 @@
     }
 
     private static void sleep(final long millis) {
+    /** Waits until the connections that have not sent a request yet were refused or closed. */
+    private void awaitConnectionsClosed() {
+        final long startNanos = System.nanoTime();
+        while (mCallerServer.connections() + mTargetServer.connections() > 0
+                && System.nanoTime() - startNanos < LAST_REQUEST_WAIT_NANOS) {
+            sleep(DRAIN_POLL_INTERVAL_MILLIS);
+        }
+    }
+
         try {
             Thread.sleep(millis);
         } catch (InterruptedException e) {
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -357,7 +357,7 @@
                 mMayHaveRun = true;
                 mRetryGranted = true;
             } else {
-                mPlan.recordRefusal(host, false);
+                mPlan.recordAbsence(host);
             }
             attempt(Refusal.of(ErrorCode.LINK_LOST));
         }
@@ -506,7 +506,11 @@
             return;
         }
         final String host = attempt.mTarget.candidate().host();
-        mPlan.recordRefusal(host, refusal.code() == ErrorCode.OVERLOADED);
+        if (isTargetAbsent(refusal.code())) {
+            mPlan.recordAbsence(host);
+        } else {
+            mPlan.recordRefusal(host, refusal.code() == ErrorCode.OVERLOADED);
+        }
         addToTrail(refusal.code().wireName());
         mKeyOutcomeKnown =
                 switch (refusal.code()) {
@@ -532,6 +536,13 @@
         }
     }
 
+    private static boolean isTargetAbsent(final ErrorCode code) {
+        return switch (code) {
+            case LEAVING, NO_TARGET, TARGET_UNREACHABLE -> true;
+            default -> false;
+        };
+    }
+
     private void afterFailure(
             final Attempt attempt, final ErrorCode code, final CallPhase reportedPhase) {
         if (mFinished) {
@@ -544,7 +555,7 @@
         }
         addToTrail(code.wireName() + "/" + phase);
         if (phase.isNotRun()) {
-            mPlan.recordRefusal(attempt.mTarget.candidate().host(), false);
+            mPlan.recordAbsence(attempt.mTarget.candidate().host());
         } else {
             recordRun(attempt.mTarget.candidate().host());
         }
--- a/src/main/java/io/bilberrylane/policy/CallPlan.java
+++ b/src/main/java/io/bilberrylane/policy/CallPlan.java
@@ -197,6 +197,17 @@
         mAllOverloadedInRound &= overloaded;
     }
 
+    /**
+     * Records that a gate could not offer the call to a target, because it has none or is gone
+     * itself. If it was the last gate, another one takes its place.
+     *
+     * @param host the gate's host
+     */
+    public void recordAbsence(final String host) {
+        recordRefusal(host, false);
+        mLastResortUsed = false;
+    }
+
     /**
      * Records that a target has received the call and may have run it.
      *
--- a/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
@@ -127,6 +127,52 @@
         }
     }
 
+    /** The target may still work on an aborted request until it has noticed the abort. */
+    @Test
+    void shouldReportAnAbortOnlyWhenTheTargetHasClosedTheConnection() throws Exception {
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                connection -> {
+                    connection.send(
+                            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                            true,
+                            new Recorder(connection));
+                    connection.abort(() -> mEvents.add("aborted"));
+                },
+                cause -> mEvents.add("unreachable"));
+        try (Socket socket = mServer.accept()) {
+            while (socket.getInputStream().read() >= 0) {
+                assertThat(mEvents).isEmpty();
+            }
+            assertThat(mEvents).isEmpty();
+        }
+        assertThat(nextEvent()).isEqualTo("aborted");
+    }
+
+    @Test
+    void shouldReportAnAbortAfterSomeTimeWhenTheTargetDoesNotNotice() throws Exception {
+        final long startNanos = System.nanoTime();
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                connection -> {
+                    connection.send(
+                            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                            true,
+                            new Recorder(connection));
+                    connection.abort(() -> mEvents.add("aborted"));
+                },
+                cause -> mEvents.add("unreachable"));
+        try (Socket socket = mServer.accept()) {
+            assertThat(nextEvent()).isEqualTo("aborted");
+            assertThat(System.nanoTime() - startNanos)
+                    .isBetween(
+                            TimeUnit.MILLISECONDS.toNanos(90), TimeUnit.MILLISECONDS.toNanos(450));
+            assertThat(socket.isConnected()).isTrue();
+        }
+    }
+
     @Test
     void shouldDropTheResponseWhenItBelongsToAnotherRequest() throws Exception {
         exchange(MISMATCHED_RESPONSE + MATCHING_RESPONSE, false);
--- a/src/test/java/io/bilberrylane/node/CallerDisconnectTest.java
+++ b/src/test/java/io/bilberrylane/node/CallerDisconnectTest.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Callers that disconnect while their calls are in service and other calls wait for the slots. */
@@ -35,7 +34,6 @@
      * ended.
      */
     @Test
-    @Tag("known-red")
     void shouldNeverExceedTheSlotsWhenCallersDisconnect() {
         try (Fleet fleet = Fleet.of(1, SERVICE_MICROS)) {
             for (int round = 0; round < ROUNDS; round++) {
--- a/src/test/java/io/bilberrylane/node/CrashingCallTest.java
+++ b/src/test/java/io/bilberrylane/node/CrashingCallTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A call that crashes each target that runs it and that its caller sends again. */
@@ -74,7 +73,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void shouldGoOnServingOtherCallsWhenOneIsRefused() throws Exception {
         sendThroughEachNode(HttpMethod.POST);
         for (int i = 0; i < NODES; i++) {
--- a/src/test/java/io/bilberrylane/node/LeavingTest.java
+++ b/src/test/java/io/bilberrylane/node/LeavingTest.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A node leaves while callers keep sending requests. */
@@ -37,7 +36,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void shouldCutNoCallWhenCallersGoOnSendingUntilItIsGone() throws Exception {
         try (Fleet fleet = Fleet.of(2, SERVICE_MICROS)) {
             final Node leaving = fleet.mNodes.get(0);
--- a/src/test/java/io/bilberrylane/policy/CallPlanTest.java
+++ b/src/test/java/io/bilberrylane/policy/CallPlanTest.java
@@ -36,6 +36,28 @@
         assertThat(mPlan.canOffer()).isFalse();
     }
 
+    /** A gate without a target says nothing about the others. */
+    @Test
+    void shouldOfferToAnotherLastGateWhenTheLastOneHasNoTarget() {
+        mPlan.recordOffer(true, false);
+        mPlan.recordAbsence("a");
+        assertThat(mPlan.canOffer()).isTrue();
+        assertThat(mPlan.excludedHosts()).containsExactly("a");
+        mPlan.recordOffer(true, false);
+        mPlan.recordRefusal("b", false);
+        assertThat(mPlan.canOffer()).isFalse();
+    }
+
+    @Test
+    void shouldEndWhenAllGatesHaveNoTarget() {
+        int offers = 0;
+        while (mPlan.canOffer()) {
+            mPlan.recordOffer(true, false);
+            mPlan.recordAbsence("host-" + offers++ % 3);
+        }
+        assertThat(offers).isLessThanOrEqualTo(30);
+    }
+
     @Test
     void shouldExcludeATargetWhenItMayHaveRunTheCall() {
         mPlan.recordRun("a");
