--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -14,6 +14,7 @@
 import io.bilberrylane.http.TargetConnectionPool;
 import io.bilberrylane.http.TargetPoolSettings;
 import io.bilberrylane.membership.TargetAnnouncement;
+import io.bilberrylane.membership.TargetHistory;
 import io.bilberrylane.membership.TargetRecord;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.outcome.CallPhase;
@@ -31,13 +32,10 @@
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -52,7 +50,6 @@
     private static final int WARM_CONNECTIONS = 1;
 
     private static final long MIN_RECHECK_NANOS = 2_000_000L;
-    private static final int MAX_LEAVING_PROCESSES = 64;
 
     private final Transport mTransport;
     private volatile NodeSettings mSettings;
@@ -67,14 +64,7 @@
     private volatile CrashDetector mCrashDetector;
     private volatile boolean mLeaving;
     private volatile long mLeaseEndNanos;
-    private final Set<String> mLeavingProcesses =
-            Collections.newSetFromMap(
-                    new LinkedHashMap<>() {
-                        @Override
-                        protected boolean removeEldestEntry(final Map.Entry<String, Boolean> e) {
-                            return size() > MAX_LEAVING_PROCESSES;
-                        }
-                    });
+    private final TargetHistory mTargetHistory = TargetHistory.empty();
 
     private Gate(
             final Transport transport,
@@ -122,13 +112,15 @@
     public synchronized boolean announce(
             final TargetAnnouncement announcement, final InetSocketAddress address) {
         final GateTarget current = mTarget;
-        if (current != null && announcement.isOlderThan(current.announcement())) {
-            LOGGER.atInfo().log("older announcement of target %s ignored", announcement.id());
-            return false;
-        }
-        if (mLeavingProcesses.contains(processOf(announcement))) {
+        final long nowMillis = monotonicMillis();
+        if (mTargetHistory.isObsolete(announcement, nowMillis)) {
+            LOGGER.atInfo().log(
+                    "announcement of target %s ignored: it is older than a known one, or the"
+                            + " target has left",
+                    announcement.id());
             return false;
         }
+        mTargetHistory.recordAnnouncement(announcement, nowMillis);
         mLeaseEndNanos =
                 System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(announcement.leaseMillis());
         if (current != null && announcement.isRenewalOf(current.announcement())) {
@@ -161,6 +153,10 @@
         return true;
     }
 
+    private static long monotonicMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     /** Returns a name of a target's process that is unique in the fleet. */
     private String processOf(final TargetAnnouncement announcement) {
         return announcement.id() + "@" + mSettings.host() + ":" + announcement.incarnation();
@@ -234,11 +230,11 @@
      * @return whether the change must be announced to other nodes
      */
     public synchronized boolean markTargetLeaving(final String id) {
+        mTargetHistory.recordDeparture(id, System.currentTimeMillis(), monotonicMillis());
         final GateTarget target = mTarget;
         if (target == null || !target.announcement().id().equals(id)) {
             return false;
         }
-        mLeavingProcesses.add(processOf(target.announcement()));
         LOGGER.atInfo().log("target %s is leaving", id);
         mTarget = target.asLeaving();
         stopAdmission(target);
@@ -266,7 +262,13 @@
         target.pool().close();
     }
 
+    /** Stops the admission of calls to a target that requests no new work. */
     private void stopAdmission(final GateTarget target) {
+        mAdmissionLock.run(() -> target.admission().limitStarts(System.nanoTime()));
+        refuseWaiting(target);
+    }
+
+    private void refuseWaiting(final GateTarget target) {
         final List<GateCall> refused =
                 mAdmissionLock.get(
                         () ->
@@ -434,6 +436,11 @@
         return mOutcomeLock.get(() -> mCalls.reserve(callId, System.nanoTime()));
     }
 
+    /** Returns whether the target may still receive a call that was admitted before. */
+    boolean mayStart(final GateTarget target) {
+        return mAdmissionLock.get(() -> target.admission().mayStart(System.nanoTime()));
+    }
+
     boolean markStarted(final String callId) {
         return mOutcomeLock.get(() -> mCalls.start(callId, System.nanoTime()));
     }
@@ -600,7 +607,7 @@
         mLeaving = true;
         final GateTarget target = mTarget;
         if (target != null) {
-            stopAdmission(target);
+            refuseWaiting(target);
         }
     }
 
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -286,6 +286,12 @@
             refuseNow(ErrorCode.TARGET_UNREACHABLE);
             return;
         }
+        if (!mGate.mayStart(mTarget)) {
+            mConnection.release();
+            releaseSlot(true, -1);
+            refuseNow(ErrorCode.LEAVING);
+            return;
+        }
         final boolean mayStart =
                 mGate.markStarted(mHead.callId()) && mKeyedRun.map(KeyedRun::start).orElse(true);
         if (!mayStart) {
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -51,6 +51,9 @@
     /** A call whose queue deadline is nearer than this is not checked again before the deadline. */
     private static final long LAST_RECHECK_NANOS = 30_000_000L;
 
+    /** How long an admitted call may start after its target has requested no new work. */
+    private static final long START_GRACE_NANOS = 500_000_000L;
+
     private record RunningCall(int route, int inService, int speedPercent) {}
 
     private final int mSlots;
@@ -62,6 +65,8 @@
     private final Map<String, AdmissionRequest> mWaiting = new LinkedHashMap<>();
     private double mFailureRate;
     private boolean mAccepting = true;
+    private boolean mStartsLimited;
+    private long mStartsEndNanos;
     private int mPeakInService;
 
     private GateAdmission(final int slots, final int coldSlots, final int warmUpRequests) {
@@ -368,10 +373,34 @@
         return waiting;
     }
 
+    /**
+     * Records that the target has requested no new work. Calls that were admitted before may start
+     * only for a short time from now on, for example while the first bytes of their bodies arrive.
+     *
+     * @param nowNanos the monotonic clock
+     */
+    public void limitStarts(final long nowNanos) {
+        if (!mStartsLimited) {
+            mStartsLimited = true;
+            mStartsEndNanos = nowNanos + START_GRACE_NANOS;
+        }
+    }
+
+    /**
+     * Returns whether an admitted call may still start.
+     *
+     * @param nowNanos the monotonic clock
+     * @return false if the target requested no new work some time ago
+     */
+    public boolean mayStart(final long nowNanos) {
+        return !mStartsLimited || nowNanos - mStartsEndNanos < 0;
+    }
+
     /** Resumes admission, starting at the cold concurrency. */
     public void resume() {
         if (!mAccepting) {
             mAccepting = true;
+            mStartsLimited = false;
             mColdStart.resetToCold();
         }
     }
