Keep the valid objects when another writer left an odd one; no task ends at an error

Cause: one object without a name, nested more than 1,000 levels or with a number or key too long made the whole list or watch response unreadable, so nodes stopped following that kind; a seed with a port out of range ended the synchronization of members for good, since its task threw before it scheduled the next run. Change: odd objects and seeds are left out, logged and counted; recurring tasks log and count an unexpected error and go on.

--- a/src/main/java/io/bilberrylane/node/Addresses.java
+++ b/src/main/java/io/bilberrylane/node/Addresses.java
@@ -27,6 +27,20 @@
         return new InetSocketAddress(ip, port);
     }
 
+    /**
+     * Returns whether a text is an address to which a connection can be opened.
+     *
+     * @param text any text
+     * @return false if it is not an IP address and a port from 1 to 65535
+     */
+    public static boolean isValid(final String text) {
+        try {
+            return parse(text).getPort() > 0;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
     private static int parsePort(final String text) {
         try {
             final int port = Integer.parseInt(text);
--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.common.hash.Hashing;
+import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.catalogue.ConfigurationDocument;
 import io.bilberrylane.catalogue.ConfigurationFormat;
 import io.bilberrylane.membership.Member;
@@ -114,7 +115,12 @@
         mOutageWatch.ifPresent(watch -> watch.setActive(shouldWatch));
         final long intervalMillis =
                 mConfiguration.isComplete() ? CHECK_INTERVAL_MILLIS : STARTUP_CHECK_INTERVAL_MILLIS;
-        mTransport.group().schedule(this::check, intervalMillis, TimeUnit.MILLISECONDS);
+        mTransport
+                .group()
+                .schedule(
+                        GuardedTask.of("configuration watch", this::check),
+                        intervalMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     /** Returns how long to wait for the configuration from peers before asking the platform. */
--- a/src/main/java/io/bilberrylane/node/MembershipService.java
+++ b/src/main/java/io/bilberrylane/node/MembershipService.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.base.LockRank;
 import io.bilberrylane.base.RankedLock;
 import io.bilberrylane.membership.ConfigurationVersion;
@@ -116,7 +117,7 @@
         mTicker =
                 mChannel.eventLoop()
                         .scheduleAtFixedRate(
-                                this::tick,
+                                GuardedTask.of("membership tick", this::tick),
                                 TICK_INTERVAL_MILLIS,
                                 TICK_INTERVAL_MILLIS,
                                 TimeUnit.MILLISECONDS);
@@ -249,7 +250,7 @@
     }
 
     private void tickNow() {
-        mChannel.eventLoop().execute(this::tick);
+        mChannel.eventLoop().execute(GuardedTask.of("membership tick", this::tick));
     }
 
     /**
@@ -324,7 +325,7 @@
     private static Map<String, List<TargetRef>> indexByService(final List<Member> members) {
         final Map<String, List<TargetRef>> index = new HashMap<>();
         for (final Member member : members) {
-            if (member.isPresent()) {
+            if (member.isPresent() && Addresses.isValid(member.peerAddress())) {
                 member.target()
                         .filter(TargetRecord::accepting)
                         .ifPresent(
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.DroppingAppender;
+import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.base.ResourceCloser;
 import io.bilberrylane.http.HttpServer;
 import io.bilberrylane.http.InterfaceProfile;
@@ -12,6 +13,7 @@
 import io.bilberrylane.peer.PeerLinks;
 import io.bilberrylane.peer.PeerMessage;
 import io.bilberrylane.peer.PeerServer;
+import io.bilberrylane.platform.ObjectJson;
 import io.bilberrylane.platform.PlatformClient;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -30,12 +32,12 @@
     private static final double CALLERS_MOVED_FRACTION = 0.4;
     private static final double REFUSE_FRACTION = 0.5;
     private static final double DRAIN_END_FRACTION = 0.95;
-    private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
-
 
     /** How long a connection that has sent nothing stays open after the listener was closed. */
     private static final long LAST_REQUEST_WAIT_NANOS = 300_000_000L;
 
+    private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
+
     private final ResourceCloser mCloser = ResourceCloser.empty();
     private volatile NodeSettings mSettings;
     private final NodeIdentity mIdentity;
@@ -62,13 +64,13 @@
                 new NodeIdentity(
                         settings.host(), settings.dataCentre(), System.currentTimeMillis());
         mTransport = mCloser.add(Transport.of(settings.workers()));
+        mTransport.logImplementation();
         mPlatform = PlatformClient.of(mTransport, settings.platform(), PLATFORM_TIMEOUT_MILLIS);
     }
 
     /**
      * Starts a node.
      *
-        mTransport.logImplementation();
      * @param settings the settings of the node
      * @return the running node
      */
@@ -141,7 +143,7 @@
         mTransport
                 .group()
                 .scheduleAtFixedRate(
-                        this::expireKeysAndTarget,
+                        GuardedTask.of("key and lease expiry", this::expireKeysAndTarget),
                         LEASE_CHECK_INTERVAL_MILLIS,
                         LEASE_CHECK_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS);
@@ -197,16 +199,16 @@
                 "bilberrylane.configuration.revision",
                 "Revision of the configuration in force",
                 () -> mConfiguration.version().catalogue());
+        mMetrics.gauge(
+                "bilberrylane.configuration.findings",
+                "Elements of the configuration in force that are not understood",
+                () -> mConfiguration.findings().size());
         mMetrics.gauge(
                 "bilberrylane.gate.in.flight",
                 "Requests in service at the target",
                 () -> mGate.load().inFlight());
         mMetrics.gauge(
                 "bilberrylane.gate.allowance",
-        mMetrics.gauge(
-                "bilberrylane.configuration.findings",
-                "Elements of the configuration in force that are not understood",
-                () -> mConfiguration.findings().size());
                 "Requests that may be in service at the target",
                 () -> mGate.load().allowance());
         mMetrics.gauge(
@@ -225,6 +227,14 @@
                 "bilberrylane.log.dropped",
                 "Log lines dropped since the start because too many waited",
                 DroppingAppender::droppedCount);
+        mMetrics.gauge(
+                "bilberrylane.platform.invalid.objects",
+                "Objects of the platform that were ignored since the start",
+                ObjectJson::invalidObjects);
+        mMetrics.gauge(
+                "bilberrylane.task.failures",
+                "Runs of recurring tasks that failed with an unexpected error since the start",
+                GuardedTask::failures);
         mMetrics.gauge(
                 "bilberrylane.platform.failures",
                 "Calls to the platform that failed since the start",
@@ -378,6 +388,7 @@
         mCallerServer.closeIdle();
         mTargetServer.closeIdle();
         sleep(LEAVE_ANNOUNCEMENT_MILLIS);
+        awaitConnectionsClosed();
         if (isBusy()) {
             LOGGER.atWarning().log(
                     "drain exceeded %3$d ms: aborting %1$d calls of callers and %2$d at the target",
@@ -388,7 +399,6 @@
 
     private void sleepUntil(final long startNanos, final double fraction) {
         sleep(remainingMillis(startNanos, fraction));
-        awaitConnectionsClosed();
     }
 
     private void awaitIdle(final long startNanos, final double fraction) {
@@ -397,6 +407,15 @@
         }
     }
 
+    /** Waits until the connections that have not sent a request yet were refused or closed. */
+    private void awaitConnectionsClosed() {
+        final long startNanos = System.nanoTime();
+        while (mCallerServer.connections() + mTargetServer.connections() > 0
+                && System.nanoTime() - startNanos < LAST_REQUEST_WAIT_NANOS) {
+            sleep(DRAIN_POLL_INTERVAL_MILLIS);
+        }
+    }
+
     private long remainingMillis(final long startNanos, final double fraction) {
         final long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         return Math.max(0, Math.round(mSettings.drainMillis() * fraction) - elapsedMillis);
@@ -407,15 +426,6 @@
     }
 
     private static void sleep(final long millis) {
-    /** Waits until the connections that have not sent a request yet were refused or closed. */
-    private void awaitConnectionsClosed() {
-        final long startNanos = System.nanoTime();
-        while (mCallerServer.connections() + mTargetServer.connections() > 0
-                && System.nanoTime() - startNanos < LAST_REQUEST_WAIT_NANOS) {
-            sleep(DRAIN_POLL_INTERVAL_MILLIS);
-        }
-    }
-
         try {
             Thread.sleep(millis);
         } catch (InterruptedException e) {
--- a/src/main/java/io/bilberrylane/node/SeedService.java
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.membership.Member;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.NodeIdentity;
@@ -41,6 +43,7 @@
     private static final long SYNC_INTERVAL_MILLIS_PER_MEMBER = 100;
     private static final long SYNC_TIMEOUT_MILLIS = 2_000;
     private static final int ROUNDS_PER_LIST = 6;
+    private static final int MAX_LOGGED_CHARS = 200;
 
     /**
      * A started node synchronizes with several seeds instead of one: after a restart of all nodes,
@@ -106,6 +109,14 @@
             return;
         }
         final boolean alone = isAlone();
+        final long baseMillis = alone ? ALONE_INTERVAL_MILLIS : syncIntervalMillis();
+        final long delayMillis = baseMillis / 2 + mRandom.nextInt((int) baseMillis);
+        mTransport
+                .group()
+                .schedule(
+                        GuardedTask.of("member synchronization", this::syncRound),
+                        delayMillis,
+                        TimeUnit.MILLISECONDS);
         if (alone || mRound++ % ROUNDS_PER_LIST == 0) {
             mStore.listStale(KIND)
                     .whenComplete(
@@ -118,9 +129,6 @@
         } else {
             syncWithRandomPeer();
         }
-        final long baseMillis = alone ? ALONE_INTERVAL_MILLIS : syncIntervalMillis();
-        final long delayMillis = baseMillis / 2 + mRandom.nextInt((int) baseMillis);
-        mTransport.group().schedule(this::syncRound, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -145,7 +153,7 @@
             if (object.name().equals(mIdentity.dataCentre())) {
                 ownObject = Optional.of(object);
             }
-            seeds.addAll(readSeeds(object.spec()));
+            seeds.addAll(readSeeds(object));
         }
         mKnownSeeds = List.copyOf(seeds);
         register(ownObject);
@@ -153,8 +161,7 @@
 
     private void register(final Optional<StoredObject> ownObject) {
         final List<Seed> listed =
-                new ArrayList<>(
-                        ownObject.map(object -> readSeeds(object.spec())).orElse(List.of()));
+                new ArrayList<>(ownObject.map(SeedService::readSeeds).orElse(List.of()));
         final boolean isListed =
                 listed.stream()
                         .anyMatch(
@@ -239,7 +246,10 @@
         }
         mTransport
                 .group()
-                .schedule(this::startupSync, STARTUP_SYNC_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                .schedule(
+                        GuardedTask.of("start-up synchronization", this::startupSync),
+                        STARTUP_SYNC_INTERVAL_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void syncWithRandomPeer() {
@@ -269,10 +279,19 @@
 
     // -- format
 
-    private static List<Seed> readSeeds(final JsonNode spec) {
+    /** Returns the seeds of an object. Elements that are not seeds are left out. */
+    private static List<Seed> readSeeds(final StoredObject object) {
         final List<Seed> seeds = new ArrayList<>();
-        for (final JsonNode node : spec.path("nodes")) {
-            seeds.add(new Seed(node.path("host").asText(), node.path("address").asText()));
+        for (final JsonNode node : object.spec().path("nodes")) {
+            final String host = node.path("host").asText();
+            final String address = node.path("address").asText();
+            if (!host.isEmpty() && Addresses.isValid(address)) {
+                seeds.add(new Seed(host, address));
+            } else {
+                LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                        "seed object %s has an element that is no seed and was ignored: '%s'",
+                        object.name(), Ascii.truncate(node.toString(), MAX_LOGGED_CHARS, "..."));
+            }
         }
         return seeds;
     }
--- a/src/main/java/io/bilberrylane/platform/ObjectJson.java
+++ b/src/main/java/io/bilberrylane/platform/ObjectJson.java
@@ -1,21 +1,45 @@
 package io.bilberrylane.platform;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * The JSON format of objects, lists and events in the object API. On the wire, the version of an
  * object is its {@code revision} and the version of the store is {@code currentRev}.
  */
 public final class ObjectJson {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final LongAdder INVALID_OBJECTS = new LongAdder();
+
+    /** An object with more levels is ignored. */
+    private static final int MAX_DEPTH = 64;
+
+    /** Longer than any value in the platform: a single odd object must not hide the others. */
+    private static final int MAX_TOKEN_CHARS = 4_000_000;
+
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(
+                    JsonFactory.builder()
+                            .streamReadConstraints(
+                                    StreamReadConstraints.builder()
+                                            .maxNestingDepth(MAX_TOKEN_CHARS)
+                                            .maxNumberLength(MAX_TOKEN_CHARS)
+                                            .maxNameLength(MAX_TOKEN_CHARS)
+                                            .build())
+                            .build());
 
     private static final String METADATA = "metadata";
     private static final String NAME = "name";
@@ -89,7 +113,7 @@
 
     static ObjectList readList(final String kind, final JsonNode root) {
         final List<StoredObject> items = new ArrayList<>();
-        root.path(ITEMS).forEach(item -> items.add(read(kind, item)));
+        root.path(ITEMS).forEach(item -> readIfValid(kind, item).ifPresent(items::add));
         return new ObjectList(storeVersion(root), items);
     }
 
@@ -97,6 +121,42 @@
         return root.path(HAS_MORE).asBoolean();
     }
 
+    /** Returns an object; empty if it is not valid, so that one object never hides the others. */
+    private static Optional<StoredObject> readIfValid(final String kind, final JsonNode node) {
+        try {
+            checkDepth(kind, node);
+            return Optional.of(read(kind, node));
+        } catch (BilberrylaneException e) {
+            INVALID_OBJECTS.increment();
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "ignored an object in the platform: %s", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static void checkDepth(final String kind, final JsonNode root) {
+        List<JsonNode> level = List.of(root);
+        for (int depth = 0; !level.isEmpty(); depth++) {
+            if (depth > MAX_DEPTH) {
+                throw unreadable(
+                        "an object of kind " + kind + " has more than " + MAX_DEPTH + " levels",
+                        null);
+            }
+            final List<JsonNode> next = new ArrayList<>();
+            level.forEach(node -> node.forEach(next::add));
+            level = next;
+        }
+    }
+
+    /**
+     * Returns how many objects of the platform were ignored because they are not valid.
+     *
+     * @return a count since the start of the process
+     */
+    public static long invalidObjects() {
+        return INVALID_OBJECTS.sum();
+    }
+
     // -- events
 
     /**
@@ -117,9 +177,9 @@
     static ObjectEvents readEvents(final String kind, final JsonNode root) {
         final List<ObjectEvent> events = new ArrayList<>();
         for (final JsonNode event : root.path(EVENTS)) {
-            events.add(
-                    new ObjectEvent(
-                            read(kind, event.path(OBJECT)), event.path(DELETED).asBoolean()));
+            final boolean deleted = event.path(DELETED).asBoolean();
+            readIfValid(kind, event.path(OBJECT))
+                    .ifPresent(object -> events.add(new ObjectEvent(object, deleted)));
         }
         return new ObjectEvents(storeVersion(root), events);
     }
@@ -144,7 +204,7 @@
     public static JsonNode parse(final String text) {
         try {
             return MAPPER.readTree(text);
-        } catch (JsonProcessingException e) {
+        } catch (JsonProcessingException | NumberFormatException e) {
             throw unreadable("the platform sent no JSON", e);
         }
     }
