--- /dev/null
+++ b/src/main/java/io/bilberrylane/base/LoggingConfigurator.java
@@ -0,0 +1,59 @@
+package io.bilberrylane.base;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ConfiguratorRank;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import net.logstash.logback.encoder.LogstashEncoder;
+import net.logstash.logback.fieldnames.LogstashFieldNames;
+
+/**
+ * Configures the log: JSON lines on standard output, written by another thread. Found by the
+ * logging library as a service; a configuration file in XML would take longer to read than the rest
+ * of a node's start.
+ */
+@ConfiguratorRank(ConfiguratorRank.CUSTOM_TOP_PRIORITY)
+public final class LoggingConfigurator extends ContextAwareBase implements Configurator {
+    private static final int QUEUED_LINES = 2_048;
+    private static final int MAX_FLUSH_MILLIS = 300;
+    private static final int SOURCE_CHARS = 20;
+
+    @Override
+    public ExecutionStatus configure(final LoggerContext context) {
+        final ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setName("JSON");
+        console.setContext(context);
+        console.setEncoder(encoder(context));
+        console.start();
+        final DroppingAppender queue = new DroppingAppender();
+        queue.setName("QUEUE");
+        queue.setContext(context);
+        queue.setQueueSize(QUEUED_LINES);
+        queue.setMaxFlushTime(MAX_FLUSH_MILLIS);
+        queue.addAppender(console);
+        queue.start();
+        final Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.INFO);
+        root.addAppender(queue);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    private static LogstashEncoder encoder(final LoggerContext context) {
+        final LogstashFieldNames names = new LogstashFieldNames();
+        names.setTimestamp("at");
+        names.setVersion(null);
+        names.setLevelValue(null);
+        names.setThread(null);
+        names.setLogger("source");
+        final LogstashEncoder encoder = new LogstashEncoder();
+        encoder.setContext(context);
+        encoder.setFieldNames(names);
+        encoder.setShortenedLoggerNameLength(SOURCE_CHARS);
+        encoder.start();
+        return encoder;
+    }
+}
--- a/src/main/java/io/bilberrylane/cli/Main.java
+++ b/src/main/java/io/bilberrylane/cli/Main.java
@@ -16,6 +16,9 @@
 
 /** The entry point of the program: parses the command line and runs a subcommand. */
 public final class Main {
+    /** Detecting the width of the terminal would start a process. */
+    private static final int HELP_WIDTH_COLUMNS = 100;
+
     private static final String COMMAND = "command";
 
     private Main() {}
@@ -46,12 +49,10 @@
             final Command command,
             final Namespace namespace,
             final Map<String, String> environment) {
-        final Map<String, Flag> flags = new LinkedHashMap<>();
-        command.flags().forEach(flag -> flags.put(flag.name(), flag));
         final List<String> positional = new ArrayList<>();
         command.arguments().forEach(name -> positional.add(namespace.getString(name)));
         try {
-            return command.run(new Settings(namespace, environment, flags), positional);
+            return command.run(settings(command, namespace, environment), positional);
         } catch (FindingsException e) {
             e.findings().forEach(finding -> System.err.println(finding.line()));
             return e.code().exitStatus();
@@ -61,6 +62,32 @@
         }
     }
 
+    /**
+     * Returns the settings in a command line, without running its command.
+     *
+     * @param arguments a valid command line
+     * @return the settings, without environment variables
+     * @throws IllegalArgumentException if the command line is not valid
+     */
+    static Settings settings(final String... arguments) {
+        final Map<String, Command> commands = commands();
+        try {
+            final Namespace namespace = parser(commands).parseArgs(arguments);
+            return settings(commands.get(namespace.getString(COMMAND)), namespace, Map.of());
+        } catch (ArgumentParserException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private static Settings settings(
+            final Command command,
+            final Namespace namespace,
+            final Map<String, String> environment) {
+        final Map<String, Flag> flags = new LinkedHashMap<>();
+        command.flags().forEach(flag -> flags.put(flag.name(), flag));
+        return new Settings(namespace, environment, flags);
+    }
+
     private static Map<String, Command> commands() {
         final Map<String, Command> commands = new LinkedHashMap<>();
         for (final Command command :
@@ -85,6 +112,8 @@
     private static ArgumentParser parser(final Map<String, Command> commands) {
         final ArgumentParser parser =
                 ArgumentParsers.newFor("bilberrylane")
+                        .terminalWidthDetection(false)
+                        .defaultFormatWidth(HELP_WIDTH_COLUMNS)
                         .build()
                         .description(
                                 "A load balancer for services whose load shifts in"
--- a/src/main/java/io/bilberrylane/cli/NodeCommand.java
+++ b/src/main/java/io/bilberrylane/cli/NodeCommand.java
@@ -25,6 +25,12 @@
 
     @Override
     public int run(final Settings settings, final List<String> arguments) {
+        final Node node = start(settings);
+        return Daemon.runUntilStopped(node::leave);
+    }
+
+    /** Starts a node that follows the changes of its settings file, if it has one. */
+    static Node start(final Settings settings) {
         final Optional<Path> file = NodeSettingsReader.configFile(settings).map(Path::of);
         final Node node = Node.start(NodeSettingsReader.read(layered(settings, file)));
         file.ifPresent(
@@ -33,7 +39,7 @@
                                 path,
                                 () -> NodeSettingsReader.read(layered(settings, file)),
                                 node::reload));
-        return Daemon.runUntilStopped(node::leave);
+        return node;
     }
 
     /** Returns the settings with the file, if any, as a source of lower precedence. */
--- a/src/main/java/io/bilberrylane/cli/RehearsalCommand.java
+++ b/src/main/java/io/bilberrylane/cli/RehearsalCommand.java
@@ -10,7 +10,6 @@
 import io.bilberrylane.node.NodeSettings;
 import io.bilberrylane.node.OwnProfile;
 import io.bilberrylane.platform.PlatformClient;
-import io.bilberrylane.platform.PlatformProfile;
 import io.bilberrylane.policy.FleetBounds;
 import io.bilberrylane.standin.PlatformFaults;
 import io.bilberrylane.standin.PlatformStandIn;
@@ -55,7 +54,6 @@
     @Override
     public int run(final Settings settings, final List<String> arguments) {
         try (ResourceCloser closer = ResourceCloser.empty()) {
-            PlatformProfile.of("", 1_000).format().check("rehearsal", "{}");
             final Transport transport = closer.add(Transport.of(1));
             final PlatformStandIn platform =
                     closer.add(PlatformStandIn.start(transport, loopback(), PlatformFaults.NONE));
@@ -71,9 +69,15 @@
             }
             CatalogueStore.of(PlatformClient.of(transport, uri, 2_000))
                     .apply(CATALOGUE, "rehearsal", -1);
-            return makeCalls(SimpleHttpClient.of(transport), nodes)
-                    ? 0
-                    : ErrorCode.INVARIANT_VIOLATED.exitStatus();
+            final boolean successful = makeCalls(SimpleHttpClient.of(transport), nodes);
+            final TargetStandIn target =
+                    closer.add(
+                            TargetStandIn.start(
+                                    transport,
+                                    TargetSettings.onLoopback(
+                                            "calendar", nodes.get(0).targetAddress(), 1_000)));
+            new PlatformRehearsal(transport, target.address()).run();
+            return successful ? 0 : ErrorCode.INVARIANT_VIOLATED.exitStatus();
         }
     }
 
--- a/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
+++ b/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
@@ -16,7 +16,7 @@
     static final String PATH_PREFIX = "/-/";
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final String HEARTBEAT_PATH = PATH_PREFIX + "Instances.Heartbeat/";
+    static final String HEARTBEAT_PATH = PATH_PREFIX + "Instances.Heartbeat/";
     private static final String LEAVE_PATH = PATH_PREFIX + "Instances.Leave/";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
