Spend the calls that repeated runs make from the retry budget

Ruled out: retries past the ingress's own share (the log shows at most 37 in a second, as granted) and a setting that was not read (the rendered settings hold 0.2 and 60). Change: a gate knows how many of the runs at its target are repeats; calls that enter at that node are spent from its share with that probability. Nothing depends on the form of request ids.

--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -29,6 +29,7 @@
 import io.bilberrylane.policy.AdmissionRequest;
 import io.bilberrylane.policy.GateAdmission;
 import io.bilberrylane.policy.QueueUpdate;
+import io.bilberrylane.policy.RunningCalls;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
@@ -59,6 +60,7 @@
     private final CallTable mCalls =
             CallTable.of(TimeUnit.SECONDS.toNanos(OUTCOME_RETENTION_SECONDS));
     private final Map<String, GateCall> mQueuedCalls = new HashMap<>();
+    private final RunningCalls mRunningCalls = RunningCalls.none();
     private final KeyCoordinator mKeyCoordinator;
     private volatile GateTarget mTarget;
     private volatile CrashDetector mCrashDetector;
@@ -445,6 +447,21 @@
         return mOutcomeLock.get(() -> mCalls.start(callId, System.nanoTime()));
     }
 
+    void recordRunStart(final CallHead head) {
+        mOutcomeLock.run(() -> mRunningCalls.recordStart(head.attempt()));
+    }
+
+    void recordRunEnd(final CallHead head) {
+        mOutcomeLock.run(() -> mRunningCalls.recordEnd(head.attempt()));
+    }
+
+    /**
+     * Returns the probability that a call that the local target makes belongs to a repeated run.
+     */
+    double repeatProbability() {
+        return mOutcomeLock.get(mRunningCalls::repeatProbability);
+    }
+
     void markFinished(final String callId) {
         mOutcomeLock.run(() -> mCalls.finish(callId, System.nanoTime()));
     }
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -67,6 +67,7 @@
     private boolean mReadPending = true;
     private boolean mBodyEnded;
     private boolean mCancelled;
+    private boolean mRunCounted;
     private int mStatus;
     private TargetLoad mLoadAtStart = TargetLoad.ABSENT;
     private final long mOpenedNanos = System.nanoTime();
@@ -301,6 +302,8 @@
             return;
         }
         mState = State.STARTED;
+        mRunCounted = true;
+        mGate.recordRunStart(mHead);
         mStartedNanos = System.nanoTime();
         mLoadAtStart = mGate.load(mHead.route());
         mConnection.send(request(), !mHead.hasBody(), this);
@@ -562,6 +565,10 @@
     }
 
     private void releaseSlot(final boolean healthy, final long serviceNanos) {
+        if (mRunCounted) {
+            mRunCounted = false;
+            mGate.recordRunEnd(mHead);
+        }
         mGate.release(this, mTarget, healthy, serviceNanos);
     }
 
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -183,7 +183,11 @@
 
     void callStarted(final String service) {
         mCallsInProgress.incrementAndGet();
-        mLock.run(() -> mRetryBudget.recordCall(service, mBounds.get(), System.nanoTime()));
+        final double repeatProbability = mGate.repeatProbability();
+        mLock.run(
+                () ->
+                        mRetryBudget.recordCall(
+                                service, mBounds.get(), repeatProbability, System.nanoTime()));
     }
 
     /**
--- a/src/main/java/io/bilberrylane/policy/RetryBudget.java
+++ b/src/main/java/io/bilberrylane/policy/RetryBudget.java
@@ -7,7 +7,11 @@
 
 /**
  * This ingress's share of the calls that the fleet may send to a second target, per service and
- * over a sliding window. Not thread-safe.
+ * over a sliding window.
+ *
+ * <p>Load pattern: one service refuses or fails much of its work, so that the runs that call it
+ * fail too and are repeated, which repeats their calls to the troubled service. Calls that repeated
+ * runs make are therefore spent from the same share as this ingress's own retries. Not thread-safe.
  */
 public final class RetryBudget {
     /**
@@ -22,6 +26,7 @@
     private static final class Window {
         private final Deque<Long> mCalls = new ArrayDeque<>();
         private final Deque<Long> mRetries = new ArrayDeque<>();
+        private double mPartialRetries;
 
         private void expire(final long beforeNanos) {
             expire(mCalls, beforeNanos);
@@ -56,7 +61,30 @@
      * @param nowNanos the monotonic clock
      */
     public void recordCall(final String service, final FleetBounds bounds, final long nowNanos) {
-        window(service, bounds, nowNanos).mCalls.addLast(nowNanos);
+        recordCall(service, bounds, 0, nowNanos);
+    }
+
+    /**
+     * Records a call that this ingress accepted, and that a repeated run may have made.
+     *
+     * @param service the call's service
+     * @param bounds the bounds of the whole fleet
+     * @param repeatProbability the probability that a repeated run made the call, from 0 to 1; it
+     *     is spent from the budget
+     * @param nowNanos the monotonic clock
+     */
+    public void recordCall(
+            final String service,
+            final FleetBounds bounds,
+            final double repeatProbability,
+            final long nowNanos) {
+        final Window window = window(service, bounds, nowNanos);
+        window.mCalls.addLast(nowNanos);
+        window.mPartialRetries += repeatProbability;
+        while (window.mPartialRetries >= 1) {
+            window.mPartialRetries--;
+            window.mRetries.addLast(nowNanos);
+        }
     }
 
     /**
