--- a/src/main/java/io/bilberrylane/membership/Swim.java
+++ b/src/main/java/io/bilberrylane/membership/Swim.java
@@ -23,6 +23,10 @@
 public final class Swim {
     private static final int MAX_LOCAL_HEALTH_MULTIPLIER = 8;
     private static final int PAUSE_PERIODS = 3;
+
+    /** The sequence number of a ping that only announces a record and needs no ack. */
+    private static final long NO_ACK_SEQUENCE = 0;
+
     private static final int ANNOUNCEMENT_ROUNDS = 4;
     private static final int ANNOUNCEMENTS_PER_ROUND = 64;
     private static final long ANNOUNCEMENT_INTERVAL_NANOS = 200_000_000L;
@@ -145,7 +149,9 @@
             others(member -> member.isPresent() && mSelfAnnouncementHosts.contains(member.host()))
                     .stream()
                     .limit(ANNOUNCEMENTS_PER_ROUND)
-                    .forEach(member -> out.add(ping(member, mSequence++, updatesWithSelf())));
+                    .forEach(
+                            member ->
+                                    out.add(ping(member, NO_ACK_SEQUENCE, List.of(mTable.self()))));
             mSelfAnnouncementHosts.clear();
         }
     }
@@ -162,14 +168,6 @@
         return others;
     }
 
-    private List<Member> updatesWithSelf() {
-        final List<Member> updates = new ArrayList<>(mTable.takeUpdates());
-        if (updates.stream().noneMatch(this::isSelf)) {
-            updates.add(mTable.self());
-        }
-        return updates;
-    }
-
     private void sendConfigurationAnnouncements(
             final long nowNanos, final List<OutgoingDatagram> out) {
         if (mAnnouncementRoundsLeft == 0
@@ -294,6 +292,9 @@
     }
 
     private List<OutgoingDatagram> onPing(final SwimMessage.Ping ping) {
+        if (ping.sequence() == NO_ACK_SEQUENCE) {
+            return List.of();
+        }
         return mTable.member(ping.from())
                 .map(member -> List.of(ack(member, ping.sequence())))
                 .orElse(List.of());
--- a/src/main/java/io/bilberrylane/node/SeedService.java
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Discovers other nodes through seed objects in the platform, one for each data centre, and
@@ -46,10 +47,13 @@
     private static final int MAX_LOGGED_CHARS = 200;
 
     /**
-     * A started node synchronizes with several seeds instead of one: after a restart of all nodes,
+     * A started node synchronizes with two seeds instead of one: after a restart of all nodes,
      * pairs of nodes that found each other would otherwise not know of other pairs.
      */
-    private static final int STARTUP_SYNCS = 4;
+    private static final int STARTUP_SYNCS = 2;
+
+    /** After this time, one more synchronization brings the nodes that started a little later. */
+    private static final long LATE_SYNC_MILLIS = 1_000;
 
     private static final long STARTUP_SYNC_INTERVAL_MILLIS = 120;
     private static final long STARTUP_SYNC_PERIOD_MILLIS = 4_000;
@@ -65,6 +69,7 @@
     private final Random mRandom;
     private volatile List<Seed> mKnownSeeds = List.of();
     private final Set<String> mStartupSyncedAddresses = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger mStartupSyncCount = new AtomicInteger();
     private final long mStartNanos = System.nanoTime();
     private volatile boolean mRegistrationPending;
     private volatile boolean mStopped;
@@ -232,17 +237,15 @@
     /** Synchronizes with several seeds in quick succession for a short time after the start. */
     private void startupSync() {
         final long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+        final boolean late = ageMillis >= LATE_SYNC_MILLIS;
+        final int dueSyncs = STARTUP_SYNCS + (late ? 1 : 0);
         if (mStopped
-                || mStartupSyncedAddresses.size() >= STARTUP_SYNCS
+                || mStartupSyncCount.get() > STARTUP_SYNCS
                 || ageMillis >= STARTUP_SYNC_PERIOD_MILLIS) {
             return;
         }
-        final List<String> addresses = new ArrayList<>();
-        mKnownSeeds.forEach(seed -> addresses.add(seed.address()));
-        addresses.remove(mOwnAddress);
-        addresses.removeAll(mStartupSyncedAddresses);
-        if (!addresses.isEmpty()) {
-            sync(addresses.get(mRandom.nextInt(addresses.size())));
+        if (mStartupSyncCount.get() < dueSyncs) {
+            startupSyncAddress(late).ifPresent(this::sync);
         }
         mTransport
                 .group()
@@ -252,6 +255,21 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Returns a seed that was not synchronized with yet, or any if there is none and it is late.
+     */
+    private Optional<String> startupSyncAddress(final boolean late) {
+        final List<String> addresses = new ArrayList<>();
+        mKnownSeeds.forEach(seed -> addresses.add(seed.address()));
+        addresses.remove(mOwnAddress);
+        final List<String> fresh = new ArrayList<>(addresses);
+        fresh.removeAll(mStartupSyncedAddresses);
+        final List<String> eligible = fresh.isEmpty() && late ? addresses : fresh;
+        return eligible.isEmpty()
+                ? Optional.empty()
+                : Optional.of(eligible.get(mRandom.nextInt(eligible.size())));
+    }
+
     private void syncWithRandomPeer() {
         final List<String> addresses = new ArrayList<>();
         mKnownSeeds.forEach(seed -> addresses.add(seed.address()));
@@ -272,6 +290,7 @@
                 reply -> {
                     if (reply.isPresent() && reply.get() instanceof PeerMessage.SyncReply sync) {
                         mStartupSyncedAddresses.add(address);
+                        mStartupSyncCount.incrementAndGet();
                         mMembership.merge(sync.members());
                     }
                 });
