Read the configuration once at a start instead of watching it on every node

Change: a node that only lacks the configuration lists it and watches only if the list does not hold it; a node that knows no other one watches from 2.5 s after its start. Test: KindWatchTest, two cases.

--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -55,6 +55,9 @@
 
     private static final int RESTART_JITTER_MILLIS_PER_SEED = 20;
 
+    /** A node that knows no other after this time watches the platform itself. */
+    private static final long ALONE_WAIT_MILLIS = 2_500;
+
     private final Transport mTransport;
     private final NodeIdentity mIdentity;
     private final MembershipService mMembership;
@@ -108,11 +111,16 @@
         final boolean alone = mMembership.members().size() <= 1;
         final long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
         final boolean peerWaitElapsed = ageMillis >= peerWaitMillis();
-        final boolean missing = !mConfiguration.isComplete() && peerWaitElapsed;
         final boolean shouldWatch =
-                missing || peerWaitElapsed && !alone && isWatcher() || alone && peerWaitElapsed;
-        mCatalogueWatch.setActive(shouldWatch);
-        mOutageWatch.ifPresent(watch -> watch.setActive(shouldWatch));
+                alone ? ageMillis >= ALONE_WAIT_MILLIS : peerWaitElapsed && isWatcher();
+        final KindWatch.Mode mode =
+                shouldWatch
+                        ? KindWatch.Mode.WATCH
+                        : peerWaitElapsed && !mConfiguration.isComplete()
+                                ? KindWatch.Mode.UNTIL_KNOWN
+                                : KindWatch.Mode.OFF;
+        mCatalogueWatch.setMode(mode);
+        mOutageWatch.ifPresent(watch -> watch.setMode(mode));
         final long intervalMillis =
                 mConfiguration.isComplete() ? CHECK_INTERVAL_MILLIS : STARTUP_CHECK_INTERVAL_MILLIS;
         mTransport
@@ -176,6 +184,11 @@
     // -- listeners
 
     private final class CatalogueListener implements KindWatch.Listener {
+        @Override
+        public boolean isKnown() {
+            return mConfiguration.version().catalogue() > 0;
+        }
+
         @Override
         public void onList(final long version, final List<StoredObject> objects) {
             objects.forEach(this::apply);
@@ -214,6 +227,11 @@
     }
 
     private final class OutageListener implements KindWatch.Listener {
+        @Override
+        public boolean isKnown() {
+            return mConfiguration.version().outages() > 0;
+        }
+
         @Override
         public void onList(final long version, final List<StoredObject> objects) {
             mOutages.clear();
--- a/src/main/java/io/bilberrylane/node/KindWatch.java
+++ b/src/main/java/io/bilberrylane/node/KindWatch.java
@@ -30,12 +30,25 @@
     private static final int MIN_BACKOFF_MILLIS = 250;
     private static final int MAX_BACKOFF_MILLIS = 2_000;
 
+    /** Whether the kind is read from the platform. */
+    enum Mode {
+        /** Nothing is read. */
+        OFF,
+        /** The objects are read until the listener has what it needs; no watch follows then. */
+        UNTIL_KNOWN,
+        /** The objects are listed and then watched. */
+        WATCH
+    }
+
     /** Receives the objects and their changes, in order. */
     interface Listener {
         void onList(long version, List<StoredObject> objects);
 
         void onEvents(long version, List<ObjectEvent> events);
 
+        /** Returns whether this listener has received what it needs. */
+        boolean isKnown();
+
         /** Returns whether a list differs from what this listener has received. */
         boolean differs(List<StoredObject> objects);
     }
@@ -45,7 +58,7 @@
     private final String mKind;
     private final Listener mListener;
     private final Random mRandom = new Random();
-    private boolean mActive;
+    private Mode mMode = Mode.OFF;
     private boolean mInProgress;
     private long mVersion = -1;
     private int mConsecutiveFailures;
@@ -65,25 +78,25 @@
         mListener = listener;
     }
 
-    /** Starts or stops watching. The next start resumes from the last version. */
-    void setActive(final boolean active) {
+    /** Starts or stops reading. A later watch resumes from the last version. */
+    void setMode(final Mode mode) {
         mLoop.execute(
                 () -> {
-                    if (active == mActive) {
-                        return;
-                    }
-                    mActive = active;
-                    if (active) {
+                    final Mode previous = mMode;
+                    mMode = mode;
+                    if (mode == Mode.OFF && previous != Mode.OFF) {
+                        closeWatch();
+                    } else if (mode != previous) {
                         listOrWatch();
+                    }
+                    if (previous == Mode.OFF && mode != Mode.OFF) {
                         scheduleCheck();
-                    } else {
-                        closeWatch();
                     }
                 });
     }
 
     void stop() {
-        setActive(false);
+        setMode(Mode.OFF);
     }
 
     // -- checks
@@ -99,7 +112,7 @@
     }
 
     private void check(final int sequence) {
-        if (!mActive || sequence != mCheckSequence) {
+        if (mMode == Mode.OFF || sequence != mCheckSequence) {
             return;
         }
         mStore.listStale(mKind)
@@ -127,7 +140,9 @@
     // -- listing and watching
 
     private void listOrWatch() {
-        if (!mActive || mInProgress) {
+        final boolean nothingToRead =
+                mMode == Mode.OFF || mMode == Mode.UNTIL_KNOWN && mListener.isKnown();
+        if (nothingToRead || mInProgress) {
             return;
         }
         mInProgress = true;
@@ -177,7 +192,7 @@
     }
 
     private void onEvents(final int generation, final ObjectEvents events) {
-        if (generation != mGeneration || !mActive) {
+        if (generation != mGeneration || mMode == Mode.OFF) {
             return;
         }
         mConsecutiveFailures = 0;
--- a/src/test/java/io/bilberrylane/node/KindWatchTest.java
+++ b/src/test/java/io/bilberrylane/node/KindWatchTest.java
@@ -27,6 +27,8 @@
     private final Transport mTransport = Transport.of(1);
     private final StubStore mStore = new StubStore();
     private final BlockingQueue<Long> mDeliveredVersions = new LinkedBlockingQueue<>();
+    private volatile boolean mListHoldsAll;
+    private volatile boolean mListed;
     private final KindWatch mWatch = new KindWatch(mTransport, mStore, "k", new Recorder());
 
     @AfterEach
@@ -98,8 +100,14 @@
     }
 
     private final class Recorder implements KindWatch.Listener {
+        @Override
+        public boolean isKnown() {
+            return mListed && mListHoldsAll;
+        }
+
         @Override
         public void onList(final long version, final List<StoredObject> objects) {
+            mListed = true;
             mDeliveredVersions.add(version);
         }
 
@@ -120,7 +128,7 @@
 
     @Test
     void shouldRestartTheWatchWhenAStaleReadShowsAMissedChange() throws Exception {
-        mWatch.setActive(true);
+        mWatch.setMode(KindWatch.Mode.WATCH);
         assertThat(next(mDeliveredVersions)).isEqualTo(5);
         assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
         mStore.mStaleList = new ObjectList(9, List.of(NEWER));
@@ -130,7 +138,7 @@
 
     @Test
     void shouldRestartTheWatchWhenThePlatformRecoversFromAnOutage() throws Exception {
-        mWatch.setActive(true);
+        mWatch.setMode(KindWatch.Mode.WATCH);
         assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
         mStore.mUnavailable = true;
         TimeUnit.MILLISECONDS.sleep(3_000);
@@ -142,7 +150,7 @@
 
     @Test
     void shouldListAgainWhenTheHistoryIsGone() throws Exception {
-        mWatch.setActive(true);
+        mWatch.setMode(KindWatch.Mode.WATCH);
         assertThat(next(mDeliveredVersions)).isEqualTo(5);
         assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
         mStore.mListener.onEnded(
@@ -153,10 +161,27 @@
 
     @Test
     void shouldResumeFromTheLastEventWhenTheWatchIsCut() throws Exception {
-        mWatch.setActive(true);
+        mWatch.setMode(KindWatch.Mode.WATCH);
         assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
         mStore.mListener.onEvents(new ObjectEvents(8, List.of(new ObjectEvent(NEWER, false))));
         mStore.mListener.onEnded(new BilberrylaneException(ErrorCode.PLATFORM_UNAVAILABLE, "cut"));
         assertThat(next(mStore.mWatchedFrom)).isEqualTo(8);
     }
+
+    /** Nodes that start together must not each pay for watches that only a few of them need. */
+    @Test
+    void shouldNotWatchWhenTheListHoldsWhatIsNeeded() throws Exception {
+        mListHoldsAll = true;
+        mWatch.setMode(KindWatch.Mode.UNTIL_KNOWN);
+        assertThat(mStore.mWatchedFrom.poll(300, TimeUnit.MILLISECONDS)).isNull();
+        assertThat(mListed).isTrue();
+        mWatch.setMode(KindWatch.Mode.WATCH);
+        assertThat(mStore.mWatchedFrom.poll(5, TimeUnit.SECONDS)).isEqualTo(5);
+    }
+
+    @Test
+    void shouldWatchWhenTheListLacksWhatIsNeeded() throws Exception {
+        mWatch.setMode(KindWatch.Mode.UNTIL_KNOWN);
+        assertThat(mStore.mWatchedFrom.poll(5, TimeUnit.SECONDS)).isEqualTo(5);
+    }
 }
