Keep checking the settings file after an unexpected error

Change: the periodic check and the reload on SIGHUP are guarded tasks; before, an unexpected error ended the check for good without a line.

--- a/src/main/java/io/bilberrylane/cli/SettingsReloader.java
+++ b/src/main/java/io/bilberrylane/cli/SettingsReloader.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.FindingsException;
+import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.node.NodeSettings;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -47,11 +48,12 @@
                             return thread;
                         });
         executor.scheduleWithFixedDelay(
-                reloader::reloadIfChanged,
+                GuardedTask.of("settings check", reloader::reloadIfChanged),
                 CHECK_INTERVAL_SECONDS,
                 CHECK_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
-        Signal.handle(new Signal("HUP"), signal -> executor.execute(reloader::reload));
+        final GuardedTask reload = GuardedTask.of("settings reload", reloader::reload);
+        Signal.handle(new Signal("HUP"), signal -> executor.execute(reload));
     }
 
     private void reloadIfChanged() {
