--- a/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
+++ b/src/test/java/io/bilberrylane/catalogue/CatalogueReaderTest.java
@@ -39,7 +39,8 @@
                       - {service: a, owner: o, targets: {coldRatePerSecond: 7.5, probePath: /h}}
                       - {service: b, owner: o}
                     routes:
-                      - {host: X.example, pathPrefix: /u/, run: once, timeoutMillis: 900, largeResponses: true,
+                      - {host: X.example, pathPrefix: /u/, run: once, timeoutMillis: 900,
+                         largeResponses: true,
                          split: [{service: a, weight: 3}, {service: b, weight: 1}]}
                     callers: {idleTimeoutMillis: 1500}
                     """;
