Break off a target that sends responses without end that are not the request's

Cause: informational responses and responses to other requests were skipped for as long as they came, at the speed of the link, until the call's deadline. Test, red before: EndlessResponseTest, 4 of its 10 cases (informational responses, responses to others, the body of another response with and without a length) took 16 MB without the connection being closed. Change: at most 64 such responses and 4 MiB of their bytes in one exchange. The other six cases held: heads, status lines, empty lines, chunk extensions and trailers are limited by the codec.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -25,12 +25,20 @@
 public final class TargetConnection extends ChannelInboundHandlerAdapter {
     private static final long ABORT_TIMEOUT_MILLIS = 100;
 
+    /** More responses that do not answer the request, such as informational ones, break it off. */
+    private static final int MAX_SKIPPED_RESPONSES = 64;
+
+    /** More bytes of responses to other requests break the exchange off. */
+    private static final long MAX_SKIPPED_BYTES = 4L * 1024 * 1024;
+
     private final TargetConnectionPool mPool;
     private Channel mChannel;
     private TargetResponseListener mListener;
     private Runnable mAbortListener;
     private boolean mSkippingInformational;
     private boolean mSkippingMismatched;
+    private int mSkippedResponses;
+    private long mSkippedBytes;
     private boolean mReusable;
     private boolean mRequestSent;
     private long mIdleSinceNanos = System.nanoTime();
@@ -75,6 +83,8 @@
             final TargetResponseListener listener) {
         mListener = listener;
         mReusable = true;
+        mSkippedResponses = 0;
+        mSkippedBytes = 0;
         mRequestSent = endOfRequest;
         mChannel.write(request);
         if (endOfRequest) {
@@ -185,6 +195,7 @@
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingInformational = true;
+            countSkipped(1, 0);
             ctx.read();
             return;
         }
@@ -194,10 +205,20 @@
         } else {
             mSkippingMismatched = true;
             mReusable = false;
+            countSkipped(1, 0);
         }
         ctx.read();
     }
 
+    /** Breaks the exchange off if the target sends too much that does not belong to it. */
+    private void countSkipped(final int responses, final int bytes) {
+        mSkippedResponses += responses;
+        mSkippedBytes += bytes;
+        if (mSkippedResponses > MAX_SKIPPED_RESPONSES || mSkippedBytes > MAX_SKIPPED_BYTES) {
+            fail(new IOException("too many responses that do not belong to the request"));
+        }
+    }
+
     private void onContent(final ChannelHandlerContext ctx, final HttpContent content) {
         if (content.decoderResult().isFailure()) {
             content.release();
@@ -206,6 +227,7 @@
         }
         final boolean last = content instanceof LastHttpContent;
         if (mSkippingInformational || mSkippingMismatched) {
+            countSkipped(0, content.content().readableBytes());
             content.release();
             mSkippingInformational &= !last;
             mSkippingMismatched &= !last;
