--- a/src/main/java/io/bilberrylane/base/LoggingConfigurator.java
+++ b/src/main/java/io/bilberrylane/base/LoggingConfigurator.java
@@ -12,9 +12,9 @@
 import net.logstash.logback.fieldnames.LogstashFieldNames;
 
 /**
- * Configures the log: JSON lines on standard output, written by another thread. Found by the
- * logging library as a service; a configuration file in XML would take longer to read than the rest
- * of a node's start.
+ * Configures the log: JSON lines on standard output, written by another thread. The logging library
+ * finds this class as a service. There is no configuration file, because parsing one would slow
+ * down each start.
  */
 @ConfiguratorRank(ConfiguratorRank.CUSTOM_TOP_PRIORITY)
 public final class LoggingConfigurator extends ContextAwareBase implements Configurator {
--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -143,6 +143,14 @@
      *     latest after {@value #ABORT_TIMEOUT_MILLIS} ms, when the connection is closed
      */
     public void abort(final Runnable onNoticed) {
+        if (eventLoop().inEventLoop()) {
+            startAbort(onNoticed);
+        } else {
+            eventLoop().execute(() -> startAbort(onNoticed));
+        }
+    }
+
+    private void startAbort(final Runnable onNoticed) {
         mListener = null;
         if (!mChannel.isActive() || !(mChannel instanceof DuplexChannel duplex)) {
             mChannel.close();
@@ -152,7 +160,7 @@
         mAbortListener = onNoticed;
         mChannel.config().setAutoRead(true);
         duplex.shutdownOutput();
-        mChannel.eventLoop().schedule(this::endAbort, ABORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        eventLoop().schedule(this::endAbort, ABORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void endAbort() {
