--- a/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
@@ -127,9 +127,7 @@
         }
     }
 
-    /** The target may still work on an aborted request until it has noticed the abort. */
-    @Test
-    void shouldReportAnAbortOnlyWhenTheTargetHasClosedTheConnection() throws Exception {
+    private void sendAndAbort() {
         mPool.acquire(
                 mTransport.group().next(),
                 Long.MAX_VALUE,
@@ -141,6 +139,12 @@
                     connection.abort(() -> mEvents.add("aborted"));
                 },
                 cause -> mEvents.add("unreachable"));
+    }
+
+    /** The target may still work on an aborted request until it has noticed the abort. */
+    @Test
+    void shouldReportAnAbortOnlyWhenTheTargetHasClosedTheConnection() throws Exception {
+        sendAndAbort();
         try (Socket socket = mServer.accept()) {
             while (socket.getInputStream().read() >= 0) {
                 assertThat(mEvents).isEmpty();
@@ -153,17 +157,7 @@
     @Test
     void shouldReportAnAbortAfterSomeTimeWhenTheTargetDoesNotNotice() throws Exception {
         final long startNanos = System.nanoTime();
-        mPool.acquire(
-                mTransport.group().next(),
-                Long.MAX_VALUE,
-                connection -> {
-                    connection.send(
-                            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-                            true,
-                            new Recorder(connection));
-                    connection.abort(() -> mEvents.add("aborted"));
-                },
-                cause -> mEvents.add("unreachable"));
+        sendAndAbort();
         try (Socket socket = mServer.accept()) {
             assertThat(nextEvent()).isEqualTo("aborted");
             assertThat(System.nanoTime() - startNanos)
