Mend what the read-through found

A copy of the start-up decisions in MassStartTest could not fail when the code changed: the decision is now StartupSync, the merge of a whole table stands in Swim, and the replay runs both. Findings are listed once and logged outside the lock; an error while seeds are read is logged and counted. Names of the configuration object and of a type stand once.

--- a/src/main/java/io/bilberrylane/cli/PlatformRehearsal.java
+++ b/src/main/java/io/bilberrylane/cli/PlatformRehearsal.java
@@ -105,10 +105,12 @@
     private Node startNode(final String host, final URI platform) {
         try {
             final Path file = Files.createTempFile("rehearsal", ".yaml");
-            Files.writeString(file, settings(host, platform));
-            final Node node = NodeCommand.start(Main.settings("node", "--config", file.toString()));
-            Files.delete(file);
-            return node;
+            try {
+                Files.writeString(file, settings(host, platform));
+                return NodeCommand.start(Main.settings("node", "--config", file.toString()));
+            } finally {
+                Files.delete(file);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/io/bilberrylane/ctl/FleetStatus.java
+++ b/src/main/java/io/bilberrylane/ctl/FleetStatus.java
@@ -70,7 +70,7 @@
                         (line, count) ->
                                 text.append("not understood by ")
                                         .append(count)
-                                        .append(" nodes: ")
+                                        .append(" of the queried nodes: ")
                                         .append(line)
                                         .append('\n'));
         text.append(
@@ -80,7 +80,7 @@
         return text.toString();
     }
 
-    /** Returns each finding with the number of nodes that report it, in order of the findings. */
+    /** Returns each finding with the number of nodes that report it, sorted by finding. */
     private Map<String, Long> distinctFindings() {
         return nodes.stream()
                 .flatMap(node -> node.findings().stream())
--- a/src/main/java/io/bilberrylane/membership/Swim.java
+++ b/src/main/java/io/bilberrylane/membership/Swim.java
@@ -113,6 +113,26 @@
         members.forEach(member -> mSelfAnnouncementHosts.add(member.host()));
     }
 
+    /**
+     * Merges the member table of another node and announces the local node to members that are new
+     * here with the next tick.
+     *
+     * @param table the records of the other node
+     * @param nowNanos the current time of the monotonic clock, in nanoseconds
+     * @return whether a new member was found
+     */
+    public boolean mergeTable(final Collection<Member> table, final long nowNanos) {
+        final List<Member> newMembers = table.stream().filter(this::isUnknown).toList();
+        mTable.merge(table, nowNanos);
+        announceSelf(newMembers);
+        return !newMembers.isEmpty();
+    }
+
+    private boolean isUnknown(final Member member) {
+        return member.isPresent()
+                && mTable.member(member.host()).filter(Member::isPresent).isEmpty();
+    }
+
     // -- protocol periods
 
     /**
--- a/src/main/java/io/bilberrylane/node/ConfigurationService.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationService.java
@@ -137,6 +137,15 @@
         return mSnapshot.findings();
     }
 
+    /**
+     * Returns the first findings as lines.
+     *
+     * @return at most {@value #MAX_LISTED_FINDINGS} lines
+     */
+    public List<String> findingLines() {
+        return firstLines(findings());
+    }
+
     PeerMessage.ConfigurationReply replyTo(final PeerMessage.ConfigurationPull pull) {
         final Snapshot snapshot = mSnapshot;
         final boolean newer = snapshot.version().catalogue() > pull.known().catalogue();
@@ -167,16 +176,19 @@
                     revision, firstLines(check.findings()));
             return false;
         }
-        return publishIfApplied(
+        final boolean applied =
                 mLock.get(
                         () -> {
                             if (revision <= mSnapshot.version().catalogue()) {
                                 return false;
                             }
                             mSnapshot = mSnapshot.withCatalogue(revision, text, check);
-                            logFindings(revision, check.findings());
                             return true;
-                        }));
+                        });
+        if (applied) {
+            logFindings(revision, check.findings());
+        }
+        return publishIfApplied(applied);
     }
 
     private static void logFindings(final long revision, final List<Finding> findings) {
--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -114,11 +114,7 @@
         final boolean shouldWatch =
                 alone ? ageMillis >= ALONE_WAIT_MILLIS : peerWaitElapsed && isWatcher();
         final KindWatch.Mode mode =
-                shouldWatch
-                        ? KindWatch.Mode.WATCH
-                        : peerWaitElapsed && !mConfiguration.isComplete()
-                                ? KindWatch.Mode.UNTIL_KNOWN
-                                : KindWatch.Mode.OFF;
+                mode(shouldWatch, peerWaitElapsed && !mConfiguration.isComplete());
         mCatalogueWatch.setMode(mode);
         mOutageWatch.ifPresent(watch -> watch.setMode(mode));
         final long intervalMillis =
@@ -131,6 +127,13 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    private static KindWatch.Mode mode(final boolean shouldWatch, final boolean isMissing) {
+        if (shouldWatch) {
+            return KindWatch.Mode.WATCH;
+        }
+        return isMissing ? KindWatch.Mode.UNTIL_KNOWN : KindWatch.Mode.OFF;
+    }
+
     /** Returns how long to wait for the configuration from peers before asking the platform. */
     private long peerWaitMillis() {
         final int seeds = mSeedCount.getAsInt();
--- a/src/main/java/io/bilberrylane/node/MembershipService.java
+++ b/src/main/java/io/bilberrylane/node/MembershipService.java
@@ -231,24 +231,12 @@
      */
     public void merge(final List<Member> members) {
         final boolean hasNewMembers =
-                updateTable(
-                        () -> {
-                            final List<Member> newMembers =
-                                    members.stream().filter(this::isUnknown).toList();
-                            mTable.merge(members, System.nanoTime());
-                            mSwim.announceSelf(newMembers);
-                            return !newMembers.isEmpty();
-                        });
+                updateTable(() -> mSwim.mergeTable(members, System.nanoTime()));
         if (hasNewMembers) {
             tickNow();
         }
     }
 
-    private boolean isUnknown(final Member member) {
-        return member.isPresent()
-                && mTable.member(member.host()).filter(Member::isPresent).isEmpty();
-    }
-
     private void tickNow() {
         mChannel.eventLoop().execute(GuardedTask.of("membership tick", this::tick));
     }
--- a/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
+++ b/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.bilberrylane.base.Finding;
 import io.bilberrylane.http.LocalEndpoint;
 import io.bilberrylane.http.LocalResponse;
 import io.bilberrylane.membership.Member;
@@ -16,7 +15,6 @@
 /** Serves the health, readiness, metrics and status of a node to operators. */
 final class OperatorEndpoint implements LocalEndpoint {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int MAX_LISTED_FINDINGS = 20;
 
     private final NodeIdentity mIdentity;
     private final ConfigurationService mConfiguration;
@@ -65,10 +63,9 @@
         root.put("ready", mReady.getAsBoolean());
         root.put("leaving", mGate.isLeaving());
         root.put("configurationRevision", mConfiguration.version().catalogue());
-        final List<Finding> findings = mConfiguration.findings();
-        root.put("configurationFindingCount", findings.size());
+        root.put("configurationFindingCount", mConfiguration.findings().size());
         final ArrayNode lines = root.putArray("configurationFindings");
-        findings.stream().limit(MAX_LISTED_FINDINGS).forEach(finding -> lines.add(finding.line()));
+        mConfiguration.findingLines().forEach(lines::add);
         root.put("selfDoubt", mMembership.localHealthMultiplier());
         writeLoad(root.putObject("load"), mGate.load());
         final ArrayNode members = root.putArray("members");
--- a/src/main/java/io/bilberrylane/node/SeedService.java
+++ b/src/main/java/io/bilberrylane/node/SeedService.java
@@ -10,6 +10,7 @@
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.membership.Member;
+import io.bilberrylane.membership.StartupSync;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.NodeIdentity;
 import io.bilberrylane.peer.PeerLinks;
@@ -22,10 +23,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Discovers other nodes through seed objects in the platform, one for each data centre, and
@@ -46,17 +44,7 @@
     private static final int ROUNDS_PER_LIST = 6;
     private static final int MAX_LOGGED_CHARS = 200;
 
-    /**
-     * A started node synchronizes with two seeds instead of one: after a restart of all nodes,
-     * pairs of nodes that found each other would otherwise not know of other pairs.
-     */
-    private static final int STARTUP_SYNCS = 2;
-
-    /** After this time, one more synchronization brings the nodes that started a little later. */
-    private static final long LATE_SYNC_MILLIS = 1_000;
-
     private static final long STARTUP_SYNC_INTERVAL_MILLIS = 120;
-    private static final long STARTUP_SYNC_PERIOD_MILLIS = 4_000;
 
     private record Seed(String host, String address) {}
 
@@ -68,8 +56,7 @@
     private final PeerLinks mLinks;
     private final Random mRandom;
     private volatile List<Seed> mKnownSeeds = List.of();
-    private final Set<String> mStartupSyncedAddresses = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger mStartupSyncCount = new AtomicInteger();
+    private final StartupSync mStartupSync = StartupSync.create();
     private final long mStartNanos = System.nanoTime();
     private volatile boolean mRegistrationPending;
     private volatile boolean mStopped;
@@ -127,7 +114,7 @@
                     .whenComplete(
                             (list, failure) -> {
                                 if (failure == null) {
-                                    onSeeds(list.items());
+                                    GuardedTask.of("seed list", () -> onSeeds(list.items())).run();
                                 }
                                 syncWithRandomPeer();
                             });
@@ -234,19 +221,17 @@
 
     // -- synchronization
 
-    /** Synchronizes with several seeds in quick succession for a short time after the start. */
+    /** Synchronizes with a few seeds in quick succession after the start. */
     private void startupSync() {
         final long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
-        final boolean late = ageMillis >= LATE_SYNC_MILLIS;
-        final int dueSyncs = STARTUP_SYNCS + (late ? 1 : 0);
-        if (mStopped
-                || mStartupSyncCount.get() > STARTUP_SYNCS
-                || ageMillis >= STARTUP_SYNC_PERIOD_MILLIS) {
-            return;
-        }
-        if (mStartupSyncCount.get() < dueSyncs) {
-            startupSyncAddress(late).ifPresent(this::sync);
+        final Optional<String> next;
+        synchronized (mStartupSync) {
+            if (mStopped || mStartupSync.isFinished(ageMillis)) {
+                return;
+            }
+            next = mStartupSync.next(otherSeedAddresses(), ageMillis, mRandom);
         }
+        next.ifPresent(this::sync);
         mTransport
                 .group()
                 .schedule(
@@ -255,19 +240,11 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    /**
-     * Returns a seed that was not synchronized with yet, or any if there is none and it is late.
-     */
-    private Optional<String> startupSyncAddress(final boolean late) {
-        final List<String> addresses = new ArrayList<>();
-        mKnownSeeds.forEach(seed -> addresses.add(seed.address()));
-        addresses.remove(mOwnAddress);
-        final List<String> fresh = new ArrayList<>(addresses);
-        fresh.removeAll(mStartupSyncedAddresses);
-        final List<String> eligible = fresh.isEmpty() && late ? addresses : fresh;
-        return eligible.isEmpty()
-                ? Optional.empty()
-                : Optional.of(eligible.get(mRandom.nextInt(eligible.size())));
+    private List<String> otherSeedAddresses() {
+        return mKnownSeeds.stream()
+                .map(Seed::address)
+                .filter(address -> !address.equals(mOwnAddress))
+                .toList();
     }
 
     private void syncWithRandomPeer() {
@@ -289,8 +266,9 @@
                 SYNC_TIMEOUT_MILLIS,
                 reply -> {
                     if (reply.isPresent() && reply.get() instanceof PeerMessage.SyncReply sync) {
-                        mStartupSyncedAddresses.add(address);
-                        mStartupSyncCount.incrementAndGet();
+                        synchronized (mStartupSync) {
+                            mStartupSync.recordSync(address);
+                        }
                         mMembership.merge(sync.members());
                     }
                 });
--- a/src/main/java/io/bilberrylane/platform/ObjectJson.java
+++ b/src/main/java/io/bilberrylane/platform/ObjectJson.java
@@ -27,7 +27,7 @@
     /** An object with more levels is ignored. */
     private static final int MAX_DEPTH = 64;
 
-    /** Longer than any value in the platform: a single odd object must not hide the others. */
+    /** Longer than any value in the platform, so that the response around an odd object is read. */
     private static final int MAX_TOKEN_CHARS = 4_000_000;
 
     private static final ObjectMapper MAPPER =
@@ -121,7 +121,7 @@
         return root.path(HAS_MORE).asBoolean();
     }
 
-    /** Returns an object; empty if it is not valid, so that one object never hides the others. */
+    /** Returns an object; empty if it is not valid, so that the others are still read. */
     private static Optional<StoredObject> readIfValid(final String kind, final JsonNode node) {
         try {
             checkDepth(kind, node);
--- a/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformConfigurationFormat.java
@@ -41,9 +41,10 @@
  * understood is left out with a finding, and the rest is applied.
  */
 final class PlatformConfigurationFormat implements ConfigurationFormat {
-    private static final String KIND = "config";
-    private static final String NAME = "main";
+    static final String KIND = "config";
+    static final String NAME = "main";
     private static final String OUTAGE_KIND = "evacuations";
+    private static final String DOWNLOAD = "download";
     private static final double MAX_SECONDS = 86_400;
 
     @Override
@@ -131,9 +132,8 @@
     private static Optional<UnusableRoute> unusableRoute(
             final JsonNode virtualHost, final JsonNode path) {
         final String prefix = path.path("pathPrefix").asText("");
-        return !virtualHost.path("host").asText("").isEmpty()
-                        && virtualHost.path("host").isTextual()
-                        && prefix.startsWith("/")
+        final JsonNode host = virtualHost.path("host");
+        return host.isTextual() && !host.asText().isEmpty() && prefix.startsWith("/")
                 ? Optional.of(new UnusableRoute(hostName(virtualHost), prefix))
                 : Optional.empty();
     }
@@ -206,14 +206,14 @@
                 Math.max(1, route.path("attempts").asInt(1)),
                 Math.max(0, route.path("priority").asInt(0)),
                 regions(route),
-                type.equals("download"));
+                type.equals(DOWNLOAD));
     }
 
     /** Returns the run rule of a type; calls of an unknown type run at most once. */
     private static RunRule runRule(
             final String type, final String place, final List<Finding> findings) {
         return switch (type) {
-            case "safe", "download" -> RunRule.REPEATABLE;
+            case "safe", DOWNLOAD -> RunRule.REPEATABLE;
             case "unsafe", "upload" -> RunRule.ONCE;
             default -> {
                 findings.add(
--- a/src/main/java/io/bilberrylane/platform/PlatformSamples.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformSamples.java
@@ -5,10 +5,10 @@
 /** Valid messages of the platform, for a run that loads the classes that read them. */
 public final class PlatformSamples {
     /** The kind of the object that holds the configuration. */
-    public static final String CONFIGURATION_KIND = "config";
+    public static final String CONFIGURATION_KIND = PlatformConfigurationFormat.KIND;
 
     /** The name of the object that holds the configuration. */
-    public static final String CONFIGURATION_NAME = "main";
+    public static final String CONFIGURATION_NAME = PlatformConfigurationFormat.NAME;
 
     private PlatformSamples() {}
 
--- a/src/main/java/io/bilberrylane/policy/RetryBudget.java
+++ b/src/main/java/io/bilberrylane/policy/RetryBudget.java
@@ -10,7 +10,7 @@
  * over a sliding window.
  *
  * <p>Load pattern: one service refuses or fails much of its work, so that the runs that call it
- * fail too and are repeated, which repeats their calls to the troubled service. Calls that repeated
+ * fail too and are repeated, which repeats their calls to the failing service. Calls that repeated
  * runs make are therefore spent from the same share as this ingress's own retries. Not thread-safe.
  */
 public final class RetryBudget {
--- a/src/test/java/io/bilberrylane/membership/MassStartTest.java
+++ b/src/test/java/io/bilberrylane/membership/MassStartTest.java
@@ -7,12 +7,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -22,21 +20,17 @@
 final class MassStartTest {
     private static final int NODES = 95;
     private static final int SEEDS = 10;
-    private static final int STARTUP_SYNCS = 2;
-    private static final long LATE_SYNC_NANOS = 1_000_000_000L;
     private static final long TICK_NANOS = 100_000_000L;
     private static final long START_SPREAD_NANOS = 1_000_000_000L;
     private static final long KNOWN_WITHIN_NANOS = 2_000_000_000L;
 
-    /**
-     * A node may spend 22 KB/s on control; the storm must not take more than three seconds' worth.
-     */
+    /** A node may spend 22 KB/s on control, for the three seconds of this replay. */
     private static final long MAX_BYTES_PER_NODE = 3 * 22_000L;
 
     private final List<MemberTable> mTables = new ArrayList<>();
     private final List<Swim> mSwims = new ArrayList<>();
     private final Map<String, Integer> mIndexByAddress = new HashMap<>();
-    private final List<Set<Integer>> mSyncedSeeds = new ArrayList<>();
+    private final List<StartupSync> mSyncs = new ArrayList<>();
     private final long[] mStartNanos = new long[NODES];
     private final Random mRandom = new Random(95);
     private long mNowNanos;
@@ -60,7 +54,7 @@
             final MemberTable table = MemberTable.of(SwimSettings.DEFAULT, member(i), 0);
             mTables.add(table);
             mSwims.add(Swim.of(SwimSettings.DEFAULT, table, new Random(i)));
-            mSyncedSeeds.add(new HashSet<>());
+            mSyncs.add(StartupSync.create());
             mIndexByAddress.put(member(i).peerAddress(), i);
             mStartNanos[i] = (long) (mRandom.nextDouble() * START_SPREAD_NANOS);
         }
@@ -86,14 +80,15 @@
      * Exchanges the whole member tables of two nodes, each of which announces itself to new ones.
      */
     private void synchronize(final int node, final int seed) {
-        if (node == seed || !isUp(seed) || !mSyncedSeeds.get(node).add(seed)) {
+        if (!isUp(seed)) {
             return;
         }
+        mSyncs.get(node).recordSync(member(seed).peerAddress());
         final List<Member> sent = mTables.get(node).members();
         final List<Member> returned = mTables.get(seed).members();
         mSyncBytes += encodedBytes(sent) + encodedBytes(returned);
-        merge(seed, sent);
-        merge(node, returned);
+        mSwims.get(seed).mergeTable(sent, mNowNanos);
+        mSwims.get(node).mergeTable(returned, mNowNanos);
     }
 
     private static long encodedBytes(final List<Member> members) {
@@ -101,17 +96,17 @@
                 .length;
     }
 
-    private void merge(final int node, final List<Member> members) {
-        final MemberTable table = mTables.get(node);
-        final List<Member> unknown =
-                members.stream().filter(m -> table.member(m.host()).isEmpty()).toList();
-        table.merge(members, mNowNanos);
-        mSwims.get(node).announceSelf(unknown);
-    }
-
-    private int dueSyncs(final int node) {
-        final boolean late = mNowNanos - mStartNanos[node] >= LATE_SYNC_NANOS;
-        return STARTUP_SYNCS + (late ? 1 : 0);
+    private void startupSync(final int node) {
+        final List<String> seeds = new ArrayList<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            if (seed != node) {
+                seeds.add(member(seed).peerAddress());
+            }
+        }
+        final long ageMillis = (mNowNanos - mStartNanos[node]) / 1_000_000;
+        mSyncs.get(node)
+                .next(seeds, ageMillis, mRandom)
+                .ifPresent(address -> synchronize(node, mIndexByAddress.get(address)));
     }
 
     private boolean knowAll() {
@@ -126,9 +121,7 @@
             mNowNanos += TICK_NANOS;
             for (int i = 0; i < NODES; i++) {
                 if (isUp(i)) {
-                    if (mSyncedSeeds.get(i).size() < dueSyncs(i)) {
-                        synchronize(i, mRandom.nextInt(SEEDS));
-                    }
+                    startupSync(i);
                     deliver(mSwims.get(i).tick(mNowNanos));
                 }
             }
--- a/src/test/java/io/bilberrylane/net/TransportTest.java
+++ b/src/test/java/io/bilberrylane/net/TransportTest.java
@@ -21,6 +21,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class TransportTest {
+    private static boolean isLinux() {
+        return System.getProperty("os.name").toLowerCase(Locale.ROOT).contains("linux");
+    }
+
     /** The program's jar holds every resource of the class path that this test runs on. */
     @Nested
     class NativeLibraries {
@@ -41,8 +45,8 @@
 
         @Test
         void shouldAcceptTheConnectionsThatWaitWhenTheLoopWasBusy() throws Exception {
+            assumeTrue(isLinux());
             try (Transport transport = Transport.of(1)) {
-                assumeTrue(transport.isEpoll());
                 final Channel server = echoServer(transport);
                 final int port = ((InetSocketAddress) server.localAddress()).getPort();
                 server.eventLoop().execute(ClosingAListener::keepBusy);
@@ -95,8 +99,7 @@
     class Selection {
         @Test
         void shouldUseEpollOnLinux() {
-            final String system = System.getProperty("os.name").toLowerCase(Locale.ROOT);
-            assumeTrue(system.contains("linux"));
+            assumeTrue(isLinux());
             try (Transport transport = Transport.of(1)) {
                 assertThat(transport.isEpoll()).isTrue();
             }
