--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -41,6 +41,7 @@
                         case "upload" -> LostPart.play(record, trouble);
                         case "twice" -> SecondRun.play(record, trouble);
                         case "broken" -> BrokenOff.play(record, trouble);
+                        case "smuggled" -> Smuggled.play(record, trouble);
                         case "late" -> LateBeat.play(record, trouble);
                         default -> throw new IllegalArgumentException(arguments[0]);
                     };
