Complete a response without a length only on an end of stream that was read

Cause: such a response ends with its connection. While request bytes wait to be written, the write notices the reset first; Netty closes the channel without an exception, and the decoder ends the response as if the target had closed its side.

Change: with half closure on, a regular end is an event of its own; only it completes a response without a length. Nothing else can be taken for it, whoever notices the loss first. Same cause at the ingress: a response that breaks off towards an HTTP/1.0 caller is reset, not closed (HttpServerTest, red before: no exception).

--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -20,6 +20,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -68,6 +69,7 @@
     private boolean mBodyDone;
     private boolean mReadPending;
     private boolean mHeadSent;
+    private boolean mEndsWithConnection;
     private boolean mKeepAlive;
     private boolean mDone;
     private int mStatus;
@@ -332,6 +334,7 @@
                 HttpUtil.setTransferEncodingChunked(response, true);
             } else {
                 mKeepAlive = false;
+                mEndsWithConnection = true;
             }
         }
         setConnectionHeader(response);
@@ -376,12 +379,20 @@
                     code.wireName());
             mDone = true;
             mSettings.metrics().recordError(mService, code.wireName(), false);
-            mCtx.close();
+            abortResponse();
             return;
         }
         refuse(code, notRun, 0);
     }
 
+    /** Closes the connection so that the caller sees that the response is not complete. */
+    private void abortResponse() {
+        if (mEndsWithConnection) {
+            mCtx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        mCtx.close();
+    }
+
     private void refuse(final ErrorCode code, final boolean notRun, final long retryAfterMillis) {
         if (mDone) {
             return;
--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -32,6 +32,7 @@
     private static final long MAX_SKIPPED_BYTES = 4L * 1024 * 1024;
 
     private final TargetConnectionPool mPool;
+    private final EndOfStreamHandler mEndOfStreamHandler = new EndOfStreamHandler();
     private Channel mChannel;
     private TargetResponseListener mListener;
     private Runnable mAbortListener;
@@ -40,7 +41,9 @@
     private int mSkippedResponses;
     private long mSkippedBytes;
     private boolean mReusable;
+    private boolean mEndsWithConnection;
     private boolean mRequestSent;
+    private String mMethod = "";
     private long mIdleSinceNanos = System.nanoTime();
 
     TargetConnection(final TargetConnectionPool pool) {
@@ -51,6 +54,10 @@
         mChannel = channel;
     }
 
+    EndOfStreamHandler endOfStreamHandler() {
+        return mEndOfStreamHandler;
+    }
+
     EventLoop eventLoop() {
         return mChannel.eventLoop();
     }
@@ -83,6 +90,8 @@
             final TargetResponseListener listener) {
         mListener = listener;
         mReusable = true;
+        mEndsWithConnection = false;
+        mMethod = request.method().name();
         mSkippedResponses = 0;
         mSkippedBytes = 0;
         mRequestSent = endOfRequest;
@@ -210,6 +219,8 @@
         final boolean isKeepAlive = HttpUtil.isKeepAlive(response);
         if (mListener.onResponse(response)) {
             mReusable &= isKeepAlive;
+            mEndsWithConnection =
+                    !isFramed(response) && Headers.mayHaveBody(mMethod, response.status().code());
         } else {
             mSkippingMismatched = true;
             mReusable = false;
@@ -218,6 +229,12 @@
         ctx.read();
     }
 
+    /** Returns whether the end of a response's body is told by its head. */
+    private static boolean isFramed(final HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response);
+    }
+
     /** Breaks the exchange off if the target sends too much that does not belong to it. */
     private void countSkipped(final int responses, final int bytes) {
         mSkippedResponses += responses;
@@ -250,7 +267,9 @@
                 ctx.read();
             }
         }
-        if (last) {
+        if (last && mEndsWithConnection && !mEndOfStreamHandler.isEndOfStream()) {
+            fail(new IOException("connection lost during a response without a length"));
+        } else if (last) {
             complete(ctx);
         }
     }
--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -145,6 +145,7 @@
                 .clientBootstrap(loop)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(
                         new ChannelInitializer<>() {
@@ -152,6 +153,7 @@
                             protected void initChannel(final Channel channel) {
                                 connection.attach(channel);
                                 channel.pipeline()
+                                        .addLast(connection.endOfStreamHandler())
                                         .addLast(
                                                 new HttpClientCodec(
                                                         MAX_LINE_BYTES,
--- a/src/test/java/io/bilberrylane/http/HttpServerTest.java
+++ b/src/test/java/io/bilberrylane/http/HttpServerTest.java
@@ -1,10 +1,13 @@
 package io.bilberrylane.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.CatalogueReader;
 import io.bilberrylane.net.Transport;
+import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.BodySink;
 import io.bilberrylane.peer.CallHead;
 import io.bilberrylane.peer.HeaderField;
@@ -17,6 +20,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -87,13 +91,17 @@
             final byte[] body = ("got " + mLength).getBytes(StandardCharsets.UTF_8);
             final int status = mHead.uri().equals("/empty") ? 204 : 200;
             final List<HeaderField> headers =
-                    mHead.uri().equals("/unsized")
+                    mHead.uri().equals("/unsized") || mHead.uri().equals("/broken")
                             ? List.of()
                             : List.of(new HeaderField("Content-Length", "" + body.length));
             mSink.onHead(ResponseHead.of(status, headers));
             if (Headers.mayHaveBody(mHead.method(), status)) {
                 mSink.onData(Unpooled.wrappedBuffer(body));
             }
+            if (mHead.uri().equals("/broken")) {
+                mSink.onFailed(ErrorCode.TARGET_FAILED, CallPhase.STARTED);
+                return;
+            }
             mSink.onEnd(TargetLoad.ABSENT);
         }
 
@@ -239,5 +247,19 @@
                     .startsWith("HTTP/1.1 200")
                     .containsIgnoringCase("connection: close");
         }
+
+        // Guards against: a response that breaks off looks complete to a caller without chunks.
+        @Test
+        void shouldResetTheConnectionWhenAResponseWithoutLengthBreaksOff() {
+            assertThatThrownBy(() -> exchange(unescape("GET /broken HTTP/1.0~Host: s~~")))
+                    .isInstanceOf(SocketException.class)
+                    .hasMessageContaining("reset");
+        }
+
+        @Test
+        void shouldNotEndTheChunksWhenAResponseBreaksOff() throws IOException {
+            final String response = exchange(unescape("GET /broken HTTP/1.1~Host: s~~"));
+            assertThat(response).contains("got 0").doesNotContain("\r\n0\r\n");
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -0,0 +1,169 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.net.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A target whose side of each connection is written by the test, with a pool of connections to it
+ * and the recorded events of the exchanges.
+ */
+final class ScriptedTarget implements AutoCloseable {
+    /** An exchange ends with one of these events. */
+    static final String COMPLETE = "complete";
+
+    static final String BROKEN = "broken";
+
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+    private static final long EVENT_TIMEOUT_SECONDS = 5;
+
+    private final BlockingQueue<String> mEvents = new LinkedBlockingQueue<>();
+    private final ServerSocket mServer;
+    private final Transport mTransport;
+    private final TargetConnectionPool mPool;
+
+    private ScriptedTarget(
+            final ServerSocket server, final Transport transport, final TargetConnectionPool pool) {
+        mServer = server;
+        mTransport = transport;
+        mPool = pool;
+    }
+
+    /** Listens with a small receive buffer, so that a large request body stays unwritten. */
+    static ScriptedTarget listen() throws IOException {
+        final ServerSocket server = new ServerSocket();
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        final Transport transport = Transport.of(1);
+        final TargetConnectionPool pool =
+                TargetConnectionPool.of(
+                        transport,
+                        new TargetPoolSettings(
+                                new InetSocketAddress("127.0.0.1", server.getLocalPort()), 4, 0));
+        return new ScriptedTarget(server, transport, pool);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mPool.close();
+        mTransport.close();
+        mServer.close();
+    }
+
+    // -- requests
+
+    /** Sends a request with a body of the given length; a length of 0 means no body. */
+    void send(final String method, final int bodyBytes) {
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                connection -> {
+                    final HttpRequest request =
+                            new DefaultHttpRequest(
+                                    HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), "/");
+                    request.headers().set(HttpHeaderNames.HOST, "target");
+                    if (bodyBytes > 0) {
+                        HttpUtil.setContentLength(request, bodyBytes);
+                    }
+                    connection.send(request, bodyBytes == 0, new Recorder(connection));
+                    if (bodyBytes > 0) {
+                        connection.sendBody(Unpooled.wrappedBuffer(new byte[bodyBytes]));
+                        connection.endBody();
+                    }
+                },
+                cause -> mEvents.add("unreachable"));
+    }
+
+    /** Accepts the connection and waits for the beginning of the request. */
+    Socket acceptRequest() throws IOException {
+        final Socket socket = mServer.accept();
+        if (socket.getInputStream().read() < 0) {
+            throw new IOException("the connection was closed before the request");
+        }
+        return socket;
+    }
+
+    static void write(final Socket socket, final String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Resets the connection once the other end has had the time to read what was written. */
+    static void reset(final Socket socket) throws IOException, InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(60);
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    // -- events
+
+    /** Returns the next event; null if there is none for some seconds. */
+    String nextEvent() throws InterruptedException {
+        return mEvents.poll(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Returns how the exchange ended; null if it did not. */
+    String end() throws InterruptedException {
+        String event = nextEvent();
+        while (event != null && !event.equals(COMPLETE) && !event.equals(BROKEN)) {
+            event = nextEvent();
+        }
+        return event;
+    }
+
+    int openConnections() {
+        return mPool.open();
+    }
+
+    private final class Recorder implements TargetResponseListener {
+        private final TargetConnection mConnection;
+
+        private Recorder(final TargetConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        public boolean onResponse(final HttpResponse response) {
+            mEvents.add("head " + response.status().code());
+            return true;
+        }
+
+        @Override
+        public void onContent(final ByteBuf bytes) {
+            mEvents.add(bytes.toString(StandardCharsets.ISO_8859_1));
+            bytes.release();
+            mConnection.read();
+        }
+
+        @Override
+        public void onComplete() {
+            mEvents.add(COMPLETE);
+        }
+
+        @Override
+        public void onFailure(final Throwable cause) {
+            mEvents.add(BROKEN);
+        }
+
+        @Override
+        public void onBodyWritten(final int bytes) {
+            // The events of the response are enough.
+        }
+    }
+}
