Promise nothing about calls that were sent to an earlier process of a gate

Cause: the query for the outcome of a call after a lost link named the call only. A gate that was started again has an empty call table and answered NEVER for it. The ingress asks that late when it was paused while the gate came back.

Change: the link's first message names the process; the query carries it, and a gate answers NEVER only for its own process, otherwise STARTED, which promises nothing. Queries of earlier versions count as process unknown. The trail of call-ended shows the answer, the gate logs both processes. No message and no round trip is added to a call.

--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -61,6 +61,7 @@
             CallTable.of(TimeUnit.SECONDS.toNanos(OUTCOME_RETENTION_SECONDS));
     private final Map<String, GateCall> mQueuedCalls = new HashMap<>();
     private final RunningCalls mRunningCalls = RunningCalls.none();
+    private final NodeIdentity mIdentity;
     private final KeyCoordinator mKeyCoordinator;
     private volatile GateTarget mTarget;
     private volatile CrashDetector mCrashDetector;
@@ -72,7 +73,9 @@
             final Transport transport,
             final NodeSettings settings,
             final Supplier<Catalogue> catalogue,
+            final NodeIdentity identity,
             final KeyCoordinator keyCoordinator) {
+        mIdentity = identity;
         mKeyCoordinator = keyCoordinator;
         mTransport = transport;
         mSettings = settings;
@@ -99,6 +102,7 @@
                 transport,
                 settings,
                 catalogue,
+                identity,
                 new KeyCoordinator(new ClaimStore(identity, store)));
     }
 
@@ -335,10 +339,19 @@
      * Returns the phase of a call. A call that has not started can no longer start afterwards.
      *
      * @param callId the call's ID
-     * @return the phase
+     * @param incarnation the incarnation of the process to which the call was sent
+     * @return the phase; STARTED, which promises nothing, if the call was sent to an earlier
+     *     process or one that is not known, and this one has not seen it
      */
-    public CallPhase resolveOutcome(final String callId) {
-        return mOutcomeLock.get(() -> mCalls.resolve(callId, System.nanoTime()));
+    public CallPhase resolveOutcome(final String callId, final long incarnation) {
+        final CallPhase phase = mOutcomeLock.get(() -> mCalls.resolve(callId, System.nanoTime()));
+        if (phase != CallPhase.NEVER || incarnation == mIdentity.incarnation()) {
+            return phase;
+        }
+        LOGGER.atInfo().log(
+                "outcome of call %s is unknown here: it was sent to process %d, this is %d",
+                callId, incarnation, mIdentity.incarnation());
+        return CallPhase.STARTED;
     }
 
     RankedLock admissionLock() {
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -272,7 +272,8 @@
         return switch (request) {
             case PeerMessage.Probe q -> new PeerMessage.ProbeReply(q.requestId(), mGate.load());
             case PeerMessage.OutcomeQuery q ->
-                    new PeerMessage.OutcomeReply(q.requestId(), mGate.resolveOutcome(q.callId()));
+                    new PeerMessage.OutcomeReply(
+                            q.requestId(), mGate.resolveOutcome(q.callId(), q.incarnation()));
             case PeerMessage.ConfigurationPull q -> mConfiguration.replyTo(q);
             case PeerMessage.CrashNotice q -> {
                 mCrashDetector.recordCrash(q.fingerprint(), q.process());
@@ -289,6 +290,15 @@
         return mConfiguration.isComplete() && !mLeaving;
     }
 
+    /**
+     * Returns the incarnation of this process.
+     *
+     * @return the start time of the process, in milliseconds since 1970
+     */
+    public long incarnation() {
+        return mIdentity.incarnation();
+    }
+
     /**
      * Returns the revision of the active configuration.
      *
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -6,6 +6,7 @@
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.BodySink;
 import io.bilberrylane.peer.CallHead;
+import io.bilberrylane.peer.NodeIdentity;
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.peer.ResponseHead;
 import io.bilberrylane.peer.ResponseSink;
@@ -298,6 +299,7 @@
         private ScheduledFuture<?> mSilenceTimer;
         private boolean mDiscardingResponse;
         private int mDeferredEvents;
+        private long mGateIncarnation = NodeIdentity.UNKNOWN_INCARNATION;
 
         private Attempt(final TargetRef target, final String callId) {
             mTarget = target;
@@ -444,6 +446,17 @@
                     });
         }
 
+        @Override
+        public void onLinkLost(final CallPhase phase, final long gateIncarnation) {
+            runInOrder(
+                    () -> {
+                        mGateIncarnation = gateIncarnation;
+                        if (close()) {
+                            afterFailure(this, ErrorCode.LINK_LOST, phase);
+                        }
+                    });
+        }
+
         @Override
         public void onCredit(final int bytes) {
             runInOrder(
@@ -578,6 +591,7 @@
         mRouter.resolveOutcome(
                 attempt.mTarget,
                 attempt.mCallId,
+                attempt.mGateIncarnation,
                 phase -> mExecutor.execute(() -> onOutcome(phase.orElse(CallPhase.STARTED))));
     }
 
@@ -585,6 +599,7 @@
         if (mFinished) {
             return;
         }
+        addToTrail("outcome/" + phase);
         mMayHaveRun |= !phase.isNotRun();
         if (phase.isNotRun() && !mBodySent && mPlan.canRunAgain()) {
             attempt(Refusal.of(ErrorCode.LINK_LOST));
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -260,18 +260,21 @@
     /**
      * Queries the outcome of a call from its gate. A call that has not started yet never starts
      * there afterwards.
+     *
+     * @param gateIncarnation the incarnation of the gate's process that received the call
      */
     void resolveOutcome(
             final TargetRef target,
             final String callId,
+            final long gateIncarnation,
             final Consumer<Optional<CallPhase>> consumer) {
         if (target.candidate().host().equals(mIdentity.host())) {
-            consumer.accept(Optional.of(mGate.resolveOutcome(callId)));
+            consumer.accept(Optional.of(mGate.resolveOutcome(callId, mIdentity.incarnation())));
             return;
         }
         mLinks.request(
                 target.peerAddress(),
-                id -> new PeerMessage.OutcomeQuery(id, callId),
+                id -> new PeerMessage.OutcomeQuery(id, callId, gateIncarnation),
                 OUTCOME_TIMEOUT_MILLIS,
                 reply ->
                         consumer.accept(
--- a/src/main/java/io/bilberrylane/peer/ClientStream.java
+++ b/src/main/java/io/bilberrylane/peer/ClientStream.java
@@ -1,6 +1,5 @@
 package io.bilberrylane.peer;
 
-import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.outcome.CallPhase;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -32,8 +31,8 @@
      * Fails the call because its link was lost. Only a call that was never sent is certain not to
      * have run.
      */
-    void onLinkLost(final boolean wasSent) {
-        mSink.onFailed(ErrorCode.LINK_LOST, wasSent ? CallPhase.STARTED : CallPhase.NEVER);
+    void onLinkLost(final boolean wasSent, final long gateIncarnation) {
+        mSink.onLinkLost(wasSent ? CallPhase.STARTED : CallPhase.NEVER, gateIncarnation);
     }
 
     // -- body
--- a/src/main/java/io/bilberrylane/peer/FieldReader.java
+++ b/src/main/java/io/bilberrylane/peer/FieldReader.java
@@ -55,6 +55,11 @@
         return readField(field, value -> value.asIntegerValue().toLong());
     }
 
+    /** Returns a field that earlier versions do not send. */
+    long integerOr(final int field, final long absent) {
+        return mFields.containsKey(field) ? integer(field) : absent;
+    }
+
     int smallInteger(final int field) {
         return readField(field, value -> value.asIntegerValue().toInt());
     }
--- a/src/main/java/io/bilberrylane/peer/NodeIdentity.java
+++ b/src/main/java/io/bilberrylane/peer/NodeIdentity.java
@@ -10,6 +10,9 @@
  * @param incarnation the start time of the process, in milliseconds since 1970
  */
 public record NodeIdentity(String host, String dataCentre, long incarnation) {
+    /** Stands for a process whose incarnation is not known. */
+    public static final long UNKNOWN_INCARNATION = 0;
+
     /** Checks that host and data centre are not null. */
     public NodeIdentity {
         Objects.requireNonNull(host, "host is null");
--- a/src/main/java/io/bilberrylane/peer/PeerCodec.java
+++ b/src/main/java/io/bilberrylane/peer/PeerCodec.java
@@ -107,8 +107,9 @@
             case PeerMessage.Probe m ->
                     writeRequestId(MessageType.PROBE, 1, m.requestId()).toBytes();
             case PeerMessage.OutcomeQuery m ->
-                    writeRequestId(MessageType.OUTCOME_QUERY, 2, m.requestId())
+                    writeRequestId(MessageType.OUTCOME_QUERY, 3, m.requestId())
                             .text(2, m.callId())
+                            .integer(3, m.incarnation())
                             .toBytes();
             case PeerMessage.ConfigurationPull m ->
                     writeRequestId(MessageType.CONFIGURATION_PULL, 3, m.requestId())
@@ -217,7 +218,10 @@
                     new PeerMessage.ProbeReply(
                             fields.integer(1), fields.value(2, ValueFormats::readLoad));
             case MessageType.OUTCOME_QUERY ->
-                    new PeerMessage.OutcomeQuery(fields.integer(1), fields.text(2));
+                    new PeerMessage.OutcomeQuery(
+                            fields.integer(1),
+                            fields.text(2),
+                            fields.integerOr(3, NodeIdentity.UNKNOWN_INCARNATION));
             case MessageType.OUTCOME_REPLY ->
                     new PeerMessage.OutcomeReply(
                             fields.integer(1), fields.constant(2, CallPhase.values()));
--- a/src/main/java/io/bilberrylane/peer/PeerLink.java
+++ b/src/main/java/io/bilberrylane/peer/PeerLink.java
@@ -39,6 +39,7 @@
     private boolean mClosed;
     private int mNextStreamId = 1;
     private long mNextRequestId = 1;
+    private long mPeerIncarnation = NodeIdentity.UNKNOWN_INCARNATION;
     private long mLastReadNanos;
     private long mPingSentNanos;
     private long mLastCheckNanos;
@@ -61,7 +62,7 @@
         runOnEventLoop(
                 () -> {
                     if (mClosed) {
-                        stream.onLinkLost(false);
+                        stream.onLinkLost(false, NodeIdentity.UNKNOWN_INCARNATION);
                         return;
                     }
                     stream.assignId(mNextStreamId++);
@@ -143,8 +144,7 @@
     protected void channelRead0(final ChannelHandlerContext ctx, final PeerMessage message) {
         mLastReadNanos = System.nanoTime();
         switch (message) {
-            case PeerMessage.Hello hello ->
-                    LOGGER.atFine().log("received hello from %s", hello.host());
+            case PeerMessage.Hello hello -> mPeerIncarnation = hello.incarnation();
             case PeerMessage.Ping ping -> ctx.writeAndFlush(new PeerMessage.Pong(ping.nonce()));
             case PeerMessage.Pong pong -> mPingSentNanos = 0;
             case PeerMessage.StreamMessage stream -> onStream(stream);
@@ -243,7 +243,7 @@
         final List<ClientStream> streams = List.copyOf(mStreams.values());
         mStreams.clear();
         final boolean wasSent = mWasActive;
-        streams.forEach(stream -> stream.onLinkLost(wasSent));
+        streams.forEach(stream -> stream.onLinkLost(wasSent, mPeerIncarnation));
         List.copyOf(mPendingRequests.keySet()).forEach(id -> completeRequest(id, Optional.empty()));
     }
 
--- a/src/main/java/io/bilberrylane/peer/PeerMessage.java
+++ b/src/main/java/io/bilberrylane/peer/PeerMessage.java
@@ -159,8 +159,10 @@
      *
      * @param requestId the id of the request
      * @param callId the id of the call
+     * @param incarnation the incarnation of the process to which the call was sent; {@link
+     *     NodeIdentity#UNKNOWN_INCARNATION} if it is not known
      */
-    record OutcomeQuery(long requestId, String callId) implements Request {}
+    record OutcomeQuery(long requestId, String callId, long incarnation) implements Request {}
 
     /**
      * Returns the outcome of a call.
--- a/src/main/java/io/bilberrylane/peer/ResponseSink.java
+++ b/src/main/java/io/bilberrylane/peer/ResponseSink.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.peer;
 
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
 
@@ -48,7 +49,18 @@
      * @param code the reason
      * @param phase the last known phase of the call; NEVER or REFUSED if it certainly was not run
      */
-    void onFailed(ErrorCode code, io.bilberrylane.outcome.CallPhase phase);
+    void onFailed(ErrorCode code, CallPhase phase);
+
+    /**
+     * The link to the gate was lost. Last event.
+     *
+     * @param phase NEVER if the call was not sent, otherwise STARTED
+     * @param gateIncarnation the incarnation of the gate's process that received the call; {@link
+     *     NodeIdentity#UNKNOWN_INCARNATION} if the gate has not named it
+     */
+    default void onLinkLost(final CallPhase phase, final long gateIncarnation) {
+        onFailed(ErrorCode.LINK_LOST, phase);
+    }
 
     /**
      * More of the request body may be sent.
--- a/src/test/java/io/bilberrylane/node/Fleet.java
+++ b/src/test/java/io/bilberrylane/node/Fleet.java
@@ -53,27 +53,7 @@
     }
 
     void addNode(final String dataCentre, final long serviceMicros) {
-        final Node node =
-                mCloser.add(
-                        Node.start(
-                                new NodeSettings(
-                                        "host-" + mNodes.size(),
-                                        dataCentre,
-                                        Map.of(),
-                                        "",
-                                        new NodeAddresses(
-                                                loopback(),
-                                                loopback(),
-                                                loopback(),
-                                                loopback(),
-                                                Optional.empty()),
-                                        URI.create(
-                                                "http://127.0.0.1:"
-                                                        + mPlatform.address().getPort()),
-                                        1,
-                                        5_000,
-                                        FleetBounds.DEFAULT,
-                                        OwnProfile.create())));
+        final Node node = startNode("host-" + mNodes.size(), dataCentre, loopback());
         mNodes.add(node);
         mTargets.add(
                 mCloser.add(
@@ -83,6 +63,27 @@
                                         "calendar", node.targetAddress(), serviceMicros))));
     }
 
+    /** Starts a node without a target; it is not one of {@link #mNodes}. */
+    Node startNode(
+            final String host, final String dataCentre, final InetSocketAddress peerAddress) {
+        final NodeAddresses addresses =
+                new NodeAddresses(
+                        loopback(), peerAddress, loopback(), loopback(), Optional.empty());
+        return mCloser.add(
+                Node.start(
+                        new NodeSettings(
+                                host,
+                                dataCentre,
+                                Map.of(),
+                                "",
+                                addresses,
+                                URI.create("http://127.0.0.1:" + mPlatform.address().getPort()),
+                                1,
+                                5_000,
+                                FleetBounds.DEFAULT,
+                                OwnProfile.create())));
+    }
+
     CatalogueStore store() {
         return CatalogueStore.of(
                 PlatformClient.of(
--- a/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
+++ b/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
@@ -101,7 +101,7 @@
                 large.map(id -> new PeerMessage.ProbeReply(id, LOAD)),
                 Combinators.combine(large, large, text).as(PeerMessage.CrashNotice::new),
                 large.map(PeerMessage.CrashAck::new),
-                Combinators.combine(large, text).as(PeerMessage.OutcomeQuery::new),
+                Combinators.combine(large, text, large).as(PeerMessage.OutcomeQuery::new),
                 Combinators.combine(large, Arbitraries.of(CallPhase.values()))
                         .as(PeerMessage.OutcomeReply::new),
                 Combinators.combine(large, versions).as(PeerMessage.ConfigurationPull::new),
@@ -163,6 +163,17 @@
             assertThat(PeerCodec.decode(packer.toByteArray())).isEqualTo(new PeerMessage.Ping(5));
         }
 
+        @Example
+        void shouldNotKnowTheProcessWhenAnEarlierVersionQueriesAnOutcome() throws IOException {
+            final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+            packer.packArrayHeader(2).packInt(MessageType.OUTCOME_QUERY).packMapHeader(2);
+            packer.packInt(1).packLong(5).packInt(2).packString("call");
+            assertThat(PeerCodec.decode(packer.toByteArray()))
+                    .isEqualTo(
+                            new PeerMessage.OutcomeQuery(
+                                    5, "call", NodeIdentity.UNKNOWN_INCARNATION));
+        }
+
         @Example
         void shouldNameTheTypeWhenItIsUnknown() throws IOException {
             final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
