Keep departures of targets in the platform before they are acknowledged

Cause: departures were in the memory of the process that acknowledged them. After a restart of the node a late heartbeat registered the target anew; nothing in a heartbeat shows that it is late.

Ruled out: a shorter lease (the heartbeat renews it), a health probe before the first admission (its answer may be wrong in both directions).

Change: the node keeps the newest eight departures in its object departures/HOST and reads it at its start. A target that a late heartbeat registered before the store answered is removed again. A later process of the target registers as before. The same for draining, and for DELETE in the own interface.

Open: the store down from before the departure until the restart.

--- a/src/main/java/io/bilberrylane/http/LocalEndpoint.java
+++ b/src/main/java/io/bilberrylane/http/LocalEndpoint.java
@@ -1,5 +1,7 @@
 package io.bilberrylane.http;
 
+import java.util.concurrent.CompletionStage;
+
 /** Responds to short requests to the node itself. Implementations must not block. */
 @FunctionalInterface
 public interface LocalEndpoint {
@@ -12,7 +14,7 @@
      * @param method the HTTP method
      * @param path the path, without a query
      * @param body the body as UTF-8
-     * @return the response
+     * @return the response, possibly later
      */
-    LocalResponse respond(String method, String path, String body);
+    CompletionStage<LocalResponse> respond(String method, String path, String body);
 }
--- a/src/main/java/io/bilberrylane/http/LocalExchange.java
+++ b/src/main/java/io/bilberrylane/http/LocalExchange.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.BodySink;
@@ -12,9 +13,12 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Collects the body of a request to the node itself and sends the response. */
 final class LocalExchange implements BodySink {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final LocalEndpoint mEndpoint;
     private final CallHead mHead;
     private final ResponseSink mSink;
@@ -55,7 +59,25 @@
             return;
         }
         final String path = mHead.uri().split("\\?", 2)[0];
-        final LocalResponse response = mEndpoint.respond(mHead.method(), path, mBody.toString());
+        mEndpoint
+                .respond(mHead.method(), path, mBody.toString())
+                .whenComplete(
+                        (response, failure) -> {
+                            if (failure == null) {
+                                send(response);
+                            } else {
+                                fail(failure);
+                            }
+                        });
+    }
+
+    private void fail(final Throwable failure) {
+        LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(failure).log(
+                "request to the node itself failed: %s %s", mHead.method(), mHead.uri());
+        mSink.onFailed(ErrorCode.INVARIANT_VIOLATED, CallPhase.STARTED);
+    }
+
+    private void send(final LocalResponse response) {
         final byte[] body = response.body().getBytes(StandardCharsets.UTF_8);
         mSink.onHead(
                 ResponseHead.of(
--- a/src/main/java/io/bilberrylane/http/LocalResponse.java
+++ b/src/main/java/io/bilberrylane/http/LocalResponse.java
@@ -1,6 +1,8 @@
 package io.bilberrylane.http;
 
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 
 /**
  * A response that the node itself creates.
@@ -37,4 +39,13 @@
     public static LocalResponse text(final int status, final String body) {
         return new LocalResponse(status, "text/plain; charset=utf-8", body);
     }
+
+    /**
+     * Returns this response as one that is available at once.
+     *
+     * @return a completed stage
+     */
+    public CompletionStage<LocalResponse> now() {
+        return CompletableFuture.completedFuture(this);
+    }
 }
--- a/src/main/java/io/bilberrylane/membership/TargetHistory.java
+++ b/src/main/java/io/bilberrylane/membership/TargetHistory.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.membership;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -19,13 +20,16 @@
 
     private static final long DEPARTURE_RETENTION_MILLIS = 30_000;
 
-    /** A departure: no process of the target that started until then may register again. */
-    private record Departure(long lastIncarnation, long recordedMillis) {}
+    /** The number of departures that are kept beyond the life of the process. */
+    private static final int MAX_LASTING_DEPARTURES = 8;
 
-    private final Map<String, Departure> mDepartures =
+    private record RecordedDeparture(Departure departure, long recordedMillis) {}
+
+    private final Map<String, RecordedDeparture> mDepartures =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(final Map.Entry<String, Departure> eldest) {
+                protected boolean removeEldestEntry(
+                        final Map.Entry<String, RecordedDeparture> eldest) {
                     return size() > MAX_DEPARTURES;
                 }
             };
@@ -60,11 +64,30 @@
         return isLate || hasLeft(announcement, nowMillis);
     }
 
-    private boolean hasLeft(final TargetAnnouncement announcement, final long nowMillis) {
-        final Departure departure = mDepartures.get(announcement.id());
-        return departure != null
-                && nowMillis - departure.recordedMillis() <= DEPARTURE_RETENTION_MILLIS
-                && announcement.incarnation() <= departure.lastIncarnation();
+    /**
+     * Returns whether the process that made an announcement has left, or drains since.
+     *
+     * @param announcement the announcement
+     * @param nowMillis the monotonic clock, in milliseconds
+     * @return true if a departure binds it
+     */
+    public boolean hasLeft(final TargetAnnouncement announcement, final long nowMillis) {
+        final RecordedDeparture recorded = mDepartures.get(announcement.id());
+        return recorded != null
+                && nowMillis - recorded.recordedMillis() <= DEPARTURE_RETENTION_MILLIS
+                && recorded.departure().binds(announcement);
+    }
+
+    /**
+     * Returns the departures that a later process on this host must know.
+     *
+     * @return the newest departures, the oldest of them first
+     */
+    public List<Departure> lastingDepartures() {
+        return mDepartures.values().stream()
+                .map(RecordedDeparture::departure)
+                .skip(Math.max(0, mDepartures.size() - MAX_LASTING_DEPARTURES))
+                .toList();
     }
 
     // -- changes
@@ -78,6 +101,16 @@
     public void recordAnnouncement(final TargetAnnouncement announcement, final long nowMillis) {
         mLatest = Objects.requireNonNull(announcement, "announcement is null");
         mLatestMillis = nowMillis;
+        final RecordedDeparture recorded = mDepartures.get(announcement.id());
+        final boolean isKnownToDrain =
+                recorded != null
+                        && recorded.departure().isDraining()
+                        && recorded.departure().incarnation() == announcement.incarnation();
+        if (announcement.draining() && !isKnownToDrain) {
+            record(Departure.draining(announcement), nowMillis);
+        } else if (!announcement.draining() && isKnownToDrain) {
+            mDepartures.remove(announcement.id());
+        }
     }
 
     /**
@@ -91,7 +124,26 @@
     public void recordDeparture(final String id, final long wallClockMillis, final long nowMillis) {
         final boolean isKnown = mLatest != null && mLatest.id().equals(id);
         final long incarnation = isKnown ? mLatest.incarnation() : wallClockMillis;
-        mDepartures.remove(id);
-        mDepartures.put(id, new Departure(incarnation, nowMillis));
+        record(Departure.permanent(id, incarnation), nowMillis);
+    }
+
+    /**
+     * Adds the departures that an earlier process on this host has recorded.
+     *
+     * @param departures the departures, the oldest first
+     * @param nowMillis the monotonic clock, in milliseconds
+     */
+    public void restore(final List<Departure> departures, final long nowMillis) {
+        for (final Departure departure : departures) {
+            final RecordedDeparture known = mDepartures.get(departure.id());
+            if (known == null || known.departure().incarnation() < departure.incarnation()) {
+                record(departure, nowMillis);
+            }
+        }
+    }
+
+    private void record(final Departure departure, final long nowMillis) {
+        mDepartures.remove(departure.id());
+        mDepartures.put(departure.id(), new RecordedDeparture(departure, nowMillis));
     }
 }
--- a/src/main/java/io/bilberrylane/membership/TargetRegistry.java
+++ b/src/main/java/io/bilberrylane/membership/TargetRegistry.java
@@ -1,5 +1,7 @@
 package io.bilberrylane.membership;
 
+import java.util.concurrent.CompletionStage;
+
 /** Registers the local target of a node by its announcements. */
 public interface TargetRegistry {
     /**
@@ -7,17 +9,23 @@
      * has no effect.
      *
      * @param announcement the target's announcement
+     * @return completes when the announcement may be acknowledged
      * @throws IllegalArgumentException if the target cannot be the local target of this node
      */
-    void announce(TargetAnnouncement announcement);
+    CompletionStage<Void> announce(TargetAnnouncement announcement);
 
     /**
      * Marks a target as leaving: it gets no new calls and is never registered again.
      *
      * @param id the target's identity
+     * @return completes when the departure may be acknowledged
      */
-    void markLeaving(String id);
+    CompletionStage<Void> markLeaving(String id);
 
-    /** Removes the target immediately, regardless of its identity. */
-    void withdraw();
+    /**
+     * Removes the target immediately, regardless of its identity.
+     *
+     * @return completes when the withdrawal may be acknowledged
+     */
+    CompletionStage<Void> withdraw();
 }
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -13,6 +13,7 @@
 import io.bilberrylane.http.TargetConnection;
 import io.bilberrylane.http.TargetConnectionPool;
 import io.bilberrylane.http.TargetPoolSettings;
+import io.bilberrylane.membership.Departure;
 import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetHistory;
 import io.bilberrylane.membership.TargetRecord;
@@ -247,6 +248,44 @@
         return true;
     }
 
+    /**
+     * Removes the target at its own request. Announcements that its process sent before are
+     * ignored.
+     *
+     * @return whether there was a target
+     */
+    public synchronized boolean departTarget() {
+        final GateTarget target = mTarget;
+        if (target != null) {
+            mTargetHistory.recordDeparture(
+                    target.announcement().id(), System.currentTimeMillis(), monotonicMillis());
+        }
+        return withdrawTarget();
+    }
+
+    /**
+     * Returns the departures that must outlive this process.
+     *
+     * @return the departures, the oldest first
+     */
+    synchronized List<Departure> departures() {
+        return mTargetHistory.lastingDepartures();
+    }
+
+    /**
+     * Applies the departures that an earlier process on this host has recorded.
+     *
+     * @return whether the target was removed, because a late announcement had registered it
+     */
+    synchronized boolean restoreDepartures(final List<Departure> departures) {
+        LOGGER.atInfo().log("departures known from an earlier process: %s", departures);
+        mTargetHistory.restore(departures, monotonicMillis());
+        final GateTarget target = mTarget;
+        return target != null
+                && mTargetHistory.hasLeft(target.announcement(), monotonicMillis())
+                && withdrawTarget();
+    }
+
     /**
      * Removes the target immediately.
      *
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -8,6 +8,7 @@
 import io.bilberrylane.http.InterfaceProfile;
 import io.bilberrylane.http.LocalEndpoint;
 import io.bilberrylane.membership.ConfigurationVersion;
+import io.bilberrylane.membership.Departure;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.NodeIdentity;
 import io.bilberrylane.peer.PeerLinks;
@@ -16,6 +17,7 @@
 import io.bilberrylane.platform.ObjectJson;
 import io.bilberrylane.platform.PlatformClient;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -50,6 +52,7 @@
     private ConfigurationService mConfiguration;
     private MembershipService mMembership;
     private volatile CrashDetector mCrashDetector;
+    private DepartureStore mDepartureStore;
     private SeedService mSeedService;
     private ConfigurationWatcher mConfigurationWatcher;
     private Router mRouter;
@@ -109,6 +112,15 @@
         mMembership =
                 mCloser.add(MembershipService.start(mTransport, mIdentity, mPeerServer.address()));
         mMembership.setVersionListener(mConfiguration::onPeerVersion);
+        mDepartureStore =
+                new DepartureStore(
+                        mTransport.group().next(),
+                        mIdentity.host(),
+                        mPlatform,
+                        mGate::departures,
+                        this::restoreDepartures);
+        mCloser.add(mDepartureStore::stop);
+        mDepartureStore.start();
         mCrashDetector = new CrashDetector(mIdentity, mMembership, mLinks);
         mGate.setCrashDetector(mCrashDetector);
         mRouter =
@@ -160,7 +172,9 @@
                         addresses.target(),
                         Optional.of(
                                 profile.targetEndpoint()
-                                        .apply(new GateTargetRegistry(mGate, mMembership))),
+                                        .apply(
+                                                new GateTargetRegistry(
+                                                        mGate, mMembership, mDepartureStore))),
                         profile.targetPrefix());
         final OperatorEndpoint operatorEndpoint =
                 new OperatorEndpoint(
@@ -215,6 +229,10 @@
                 "bilberrylane.gate.keys",
                 "Idempotency keys remembered at the gate",
                 mGate::keyCount);
+        mMetrics.gauge(
+                "bilberrylane.departures.unsaved",
+                "1 while the platform does not have all departures of the target",
+                () -> mDepartureStore.isSaved() ? 0 : 1);
         mMetrics.gauge(
                 "bilberrylane.platform.reads",
                 "Reads of the platform since the start",
@@ -261,6 +279,12 @@
         mMembership.updateConfigurationVersion(version);
     }
 
+    private void restoreDepartures(final List<Departure> departures) {
+        if (mGate.restoreDepartures(departures)) {
+            mMembership.announceTarget(Optional.empty());
+        }
+    }
+
     private void expireKeysAndTarget() {
         mGate.expireKeys(System.nanoTime());
         if (mGate.expireTarget(System.nanoTime())) {
--- a/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
+++ b/src/main/java/io/bilberrylane/node/OperatorEndpoint.java
@@ -10,6 +10,7 @@
 import io.bilberrylane.policy.TargetLoad;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 
 /** Serves the health, readiness, metrics and status of a node to operators. */
@@ -39,7 +40,12 @@
     }
 
     @Override
-    public LocalResponse respond(final String method, final String path, final String body) {
+    public CompletionStage<LocalResponse> respond(
+            final String method, final String path, final String body) {
+        return responseTo(method, path).now();
+    }
+
+    private LocalResponse responseTo(final String method, final String path) {
         if (!method.equals("GET") && !method.equals("HEAD")) {
             return LocalResponse.json(405, "{\"error\":\"method-not-allowed\"}");
         }
--- a/src/main/java/io/bilberrylane/node/TargetEndpoint.java
+++ b/src/main/java/io/bilberrylane/node/TargetEndpoint.java
@@ -7,6 +7,7 @@
 import io.bilberrylane.http.LocalResponse;
 import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetRegistry;
+import java.util.concurrent.CompletionStage;
 
 /** Receives the announcements of the target beside a node. */
 final class TargetEndpoint implements LocalEndpoint {
@@ -17,6 +18,8 @@
     private static final ObjectMapper MAPPER =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+    private static final LocalResponse ACCEPTED = LocalResponse.json(200, "{\"accepted\":true}");
+
     private final TargetRegistry mRegistry;
 
     TargetEndpoint(final TargetRegistry registry) {
@@ -24,29 +27,27 @@
     }
 
     @Override
-    public LocalResponse respond(final String method, final String path, final String body) {
+    public CompletionStage<LocalResponse> respond(
+            final String method, final String path, final String body) {
         if (!path.equals(ANNOUNCEMENT)) {
-            return LocalResponse.json(404, "{\"error\":\"not-found\"}");
+            return LocalResponse.json(404, "{\"error\":\"not-found\"}").now();
         }
         return switch (method) {
             case "PUT", "POST" -> announce(body);
-            case "DELETE" -> withdraw();
-            default -> LocalResponse.json(405, "{\"error\":\"method-not-allowed\"}");
+            case "DELETE" -> mRegistry.withdraw().thenApply(done -> ACCEPTED);
+            default -> LocalResponse.json(405, "{\"error\":\"method-not-allowed\"}").now();
         };
     }
 
-    private LocalResponse announce(final String body) {
+    private CompletionStage<LocalResponse> announce(final String body) {
         try {
-            mRegistry.announce(MAPPER.readValue(body, TargetAnnouncement.class));
-            return LocalResponse.json(200, "{\"accepted\":true}");
+            return mRegistry
+                    .announce(MAPPER.readValue(body, TargetAnnouncement.class))
+                    .thenApply(done -> ACCEPTED);
         } catch (JsonProcessingException | IllegalArgumentException e) {
             return LocalResponse.json(
-                    400, MAPPER.createObjectNode().put("error", e.getMessage()).toString());
+                            400, MAPPER.createObjectNode().put("error", e.getMessage()).toString())
+                    .now();
         }
     }
-
-    private LocalResponse withdraw() {
-        mRegistry.withdraw();
-        return LocalResponse.json(200, "{\"accepted\":true}");
-    }
 }
--- a/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
+++ b/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
@@ -8,6 +8,7 @@
 import io.bilberrylane.http.LocalResponse;
 import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetRegistry;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
 /** Accepts the heartbeats and leave requests of workers and passes them to the target registry. */
@@ -19,6 +20,7 @@
     static final String HEARTBEAT_PATH = PATH_PREFIX + "Instances.Heartbeat/";
     private static final String LEAVE_PATH = PATH_PREFIX + "Instances.Leave/";
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final LocalResponse ACKNOWLEDGED = LocalResponse.json(200, "{}");
 
     /**
      * Heartbeats may be late by seconds. The lease need not be short: a crash is first detected on
@@ -40,29 +42,33 @@
     }
 
     @Override
-    public LocalResponse respond(final String method, final String path, final String body) {
+    public CompletionStage<LocalResponse> respond(
+            final String method, final String path, final String body) {
         if (!method.equals("POST")) {
-            return LocalResponse.json(405, "{\"error\":\"method-not-allowed\"}");
+            return LocalResponse.json(405, "{\"error\":\"method-not-allowed\"}").now();
         }
         if (path.startsWith(HEARTBEAT_PATH)) {
             return acceptHeartbeat(path.substring(HEARTBEAT_PATH.length()), body);
         }
         if (path.startsWith(LEAVE_PATH)) {
-            mRegistry.markLeaving(path.substring(LEAVE_PATH.length()));
-            return LocalResponse.json(200, "{}");
+            return mRegistry
+                    .markLeaving(path.substring(LEAVE_PATH.length()))
+                    .thenApply(done -> ACKNOWLEDGED);
         }
-        return LocalResponse.json(404, "{\"error\":\"not-found\"}");
+        return LocalResponse.json(404, "{\"error\":\"not-found\"}").now();
     }
 
-    private LocalResponse acceptHeartbeat(final String id, final String body) {
+    private CompletionStage<LocalResponse> acceptHeartbeat(final String id, final String body) {
         try {
-            mRegistry.announce(toAnnouncement(id, MAPPER.readTree(body)));
-            return LocalResponse.json(200, "{}");
+            return mRegistry
+                    .announce(toAnnouncement(id, MAPPER.readTree(body)))
+                    .thenApply(done -> ACKNOWLEDGED);
         } catch (JsonProcessingException | IllegalArgumentException e) {
             LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
                     "rejected heartbeat of worker %s: %s", id, e.getMessage());
             return LocalResponse.json(
-                    400, MAPPER.createObjectNode().put("error", e.getMessage()).toString());
+                            400, MAPPER.createObjectNode().put("error", e.getMessage()).toString())
+                    .now();
         }
     }
 
--- a/src/test/java/io/bilberrylane/membership/TargetHistoryTest.java
+++ b/src/test/java/io/bilberrylane/membership/TargetHistoryTest.java
@@ -59,6 +59,54 @@
         }
     }
 
+    @Nested
+    class LastingDepartures {
+        private TargetAnnouncement draining(final long sequence) {
+            return new TargetAnnouncement(
+                    "s", "i-1", "127.0.0.1:1", 4, 0, 4, 0, 10, sequence, 7_500, true, false, 0);
+        }
+
+        private TargetHistory nextProcess() {
+            final TargetHistory next = TargetHistory.empty();
+            next.restore(mHistory.lastingDepartures(), 0);
+            return next;
+        }
+
+        @Test
+        void shouldBindTheNextProcessOfTheNode() {
+            mHistory.recordAnnouncement(announcement("i-1", 10, 1), 0);
+            mHistory.recordDeparture("i-1", WALL_MILLIS, 1);
+            assertThat(nextProcess().isObsolete(announcement("i-1", 10, 9), 1)).isTrue();
+            assertThat(nextProcess().isObsolete(announcement("i-1", 11, 0), 1)).isFalse();
+        }
+
+        @Test
+        void shouldBindOnlyWhatWasSentBeforeTheTargetBeganToDrain() {
+            mHistory.recordAnnouncement(draining(5), 0);
+            mHistory.recordAnnouncement(draining(6), 0);
+            assertThat(nextProcess().isObsolete(announcement("i-1", 10, 4), 1)).isTrue();
+            assertThat(nextProcess().isObsolete(draining(5), 1)).isFalse();
+        }
+
+        @Test
+        void shouldEndWhenTheTargetIsReadyAgain() {
+            mHistory.recordAnnouncement(draining(5), 0);
+            mHistory.recordAnnouncement(announcement("i-1", 10, 6), 0);
+            assertThat(mHistory.lastingDepartures()).isEmpty();
+        }
+
+        @Test
+        void shouldKeepTheNewestOnly() {
+            for (int i = 0; i < 20; i++) {
+                mHistory.recordDeparture("i-" + i, WALL_MILLIS, 0);
+            }
+            assertThat(mHistory.lastingDepartures())
+                    .hasSize(8)
+                    .last()
+                    .isEqualTo(Departure.permanent("i-19", WALL_MILLIS));
+        }
+    }
+
     /** Announcements of successive processes, departures among them, delivered in any order. */
     @Property(tries = 1_000, seed = "17")
     void shouldNeverRegisterAProcessAfterItsDeparture(@ForAll final long seed) {
--- a/src/test/java/io/bilberrylane/node/Fleet.java
+++ b/src/test/java/io/bilberrylane/node/Fleet.java
@@ -2,6 +2,7 @@
 
 import io.bilberrylane.base.ResourceCloser;
 import io.bilberrylane.ctl.CatalogueStore;
+import io.bilberrylane.http.InterfaceProfile;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.platform.PlatformClient;
 import io.bilberrylane.policy.FleetBounds;
@@ -66,6 +67,14 @@
     /** Starts a node without a target; it is not one of {@link #mNodes}. */
     Node startNode(
             final String host, final String dataCentre, final InetSocketAddress peerAddress) {
+        return startNode(host, dataCentre, peerAddress, OwnProfile.create());
+    }
+
+    Node startNode(
+            final String host,
+            final String dataCentre,
+            final InetSocketAddress peerAddress,
+            final InterfaceProfile profile) {
         final NodeAddresses addresses =
                 new NodeAddresses(
                         loopback(), peerAddress, loopback(), loopback(), Optional.empty());
@@ -81,7 +90,7 @@
                                 1,
                                 5_000,
                                 FleetBounds.DEFAULT,
-                                OwnProfile.create())));
+                                profile)));
     }
 
     CatalogueStore store() {
--- a/src/test/java/io/bilberrylane/platform/HeartbeatEndpointTest.java
+++ b/src/test/java/io/bilberrylane/platform/HeartbeatEndpointTest.java
@@ -7,6 +7,8 @@
 import io.bilberrylane.membership.TargetRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,17 +27,20 @@
             new HeartbeatEndpoint(
                     new TargetRegistry() {
                         @Override
-                        public void announce(final TargetAnnouncement announcement) {
+                        public CompletionStage<Void> announce(
+                                final TargetAnnouncement announcement) {
                             mAnnounced.add(announcement);
+                            return CompletableFuture.completedFuture(null);
                         }
 
                         @Override
-                        public void markLeaving(final String id) {
+                        public CompletionStage<Void> markLeaving(final String id) {
                             mLeavingIds.add(id);
+                            return CompletableFuture.completedFuture(null);
                         }
 
                         @Override
-                        public void withdraw() {
+                        public CompletionStage<Void> withdraw() {
                             throw new AssertionError("workers cannot withdraw");
                         }
                     },
@@ -43,7 +48,11 @@
                     1_500);
 
     private LocalResponse post(final String path, final String body) {
-        return mEndpoint.respond("POST", path, body.replace('\'', '"'));
+        return request("POST", path, body.replace('\'', '"'));
+    }
+
+    private LocalResponse request(final String method, final String path, final String body) {
+        return mEndpoint.respond(method, path, body).toCompletableFuture().join();
     }
 
     @Nested
@@ -116,7 +125,7 @@
         @Test
         void shouldRejectTheRequestWhenThePathOrMethodIsUnknown() {
             assertThat(post("/-/Instances.Other/i-1", "").status()).isEqualTo(404);
-            assertThat(mEndpoint.respond("GET", PATH, "").status()).isEqualTo(405);
+            assertThat(request("GET", PATH, "").status()).isEqualTo(405);
         }
     }
 }
