Show that a response cut in its head never becomes a success

Report of an operator: a worker stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

It cannot happen here: the decoder marks a head without its end as failed, and the exchange fails. No code is changed.

--- a/src/test/java/io/bilberrylane/http/ResponseEndTest.java
+++ b/src/test/java/io/bilberrylane/http/ResponseEndTest.java
@@ -3,16 +3,24 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A response is complete only if its framing, or the regular end of its connection, says so. */
 final class ResponseEndTest {
     private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nhalf of it";
+
+    /** One cut in so many ends its connection only after the bytes before it were read. */
+    private static final int PAUSED_CUTS = 3;
+
     private static final int UNWRITTEN_BODY_BYTES = 8 * 1024 * 1024;
 
     private ScriptedTarget mTarget;
@@ -57,12 +65,86 @@
         void shouldCompleteWhenTheTargetHasReadAllAndCloses() throws Exception {
             mTarget.send("GET", 0);
             try (Socket socket = mTarget.acceptRequest()) {
-                while (socket.getInputStream().available() > 0) {
-                    socket.getInputStream().read();
-                }
+                ScriptedTarget.readAvailable(socket);
                 ScriptedTarget.write(socket, UNFRAMED);
             }
             assertThat(mTarget.end()).isEqualTo(ScriptedTarget.COMPLETE);
         }
     }
+
+    /** Returns the lengths at which a response that is cut there is reported as complete. */
+    private List<Integer> cutsThatComplete(
+            final String method, final String response, final int from, final boolean reset)
+            throws Exception {
+        final List<Integer> completed = new ArrayList<>();
+        for (int length = from; length < response.length(); length++) {
+            mTarget.send(method, 0);
+            try (Socket socket = mTarget.acceptRequest()) {
+                ScriptedTarget.readAvailable(socket);
+                ScriptedTarget.write(socket, response.substring(0, length));
+                if (length % PAUSED_CUTS == 0) {
+                    TimeUnit.MILLISECONDS.sleep(5);
+                }
+                if (reset) {
+                    socket.setSoLinger(true, 0);
+                }
+            }
+            if (!ScriptedTarget.BROKEN.equals(mTarget.end())) {
+                completed.add(length);
+            }
+        }
+        return completed;
+    }
+
+    @Nested
+    final class CutInTheBody {
+        @ParameterizedTest
+        @CsvSource({
+            "'Content-Length: 12\r\n\r\n', 'half of this'",
+            "'Transfer-Encoding: chunked\r\n\r\n',"
+                    + " '5;a=b\r\nhalf \r\n7\r\nof this\r\n0\r\n\r\n'",
+            "'Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n',"
+                    + " '4\r\nhalf\r\n0\r\nT: t\r\n\r\n'",
+        })
+        void shouldNotComplete(final String framing, final String body) throws Exception {
+            final String head = "HTTP/1.1 200 OK\r\n" + framing;
+            final String response = head + body;
+            assertThat(cutsThatComplete("GET", response, head.length(), false)).isEmpty();
+            assertThat(cutsThatComplete("GET", response, head.length(), true)).isEmpty();
+        }
+    }
+
+    @Nested
+    final class CutInTheHead {
+        private static final String SIGNED = "X-Response-Signature: 3e1b.07\r\n";
+
+        // Guards against: a response whose head was cut is forwarded as a whole one, with an empty
+        // or short body.
+        @ParameterizedTest
+        @CsvSource({
+            "GET, 'Content-Length: 12\r\n', false",
+            "GET, 'Content-Length: 12\r\n', true",
+            "GET, 'Transfer-Encoding: chunked\r\n', false",
+            "GET, 'Transfer-Encoding: chunked\r\nContent-Length: 12\r\n', false",
+            "GET, '', false",
+            "GET, '', true",
+            "GET, 'Connection: close\r\n', false",
+            "HEAD, 'Content-Length: 12\r\n', false",
+            "POST, 'Content-Length: 0\r\n', false",
+        })
+        void shouldNotComplete(final String method, final String framing, final boolean reset)
+                throws Exception {
+            for (final String status : List.of("200 OK", "204 No Content", "304 Not", "503 No")) {
+                final String head = "HTTP/1.1 " + status + "\r\n" + SIGNED + framing + "\r\n";
+                assertThat(cutsThatComplete(method, head, 0, reset)).as(status).isEmpty();
+            }
+        }
+
+        @Test
+        void shouldNotCompleteAfterAnInformationalResponse() throws Exception {
+            final String head =
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + SIGNED + "\r\n";
+            assertThat(cutsThatComplete("GET", head, 0, false)).isEmpty();
+        }
+    }
 }
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -99,6 +99,11 @@
         return socket;
     }
 
+    /** Reads what has arrived, so that closing the connection does not reset it. */
+    static void readAvailable(final Socket socket) throws IOException {
+        socket.getInputStream().skipNBytes(socket.getInputStream().available());
+    }
+
     static void write(final Socket socket, final String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
