Take a late request only if its timeout ends before the leaving node does

Callers saw (report of an operator): in a planned stop, requests that came late in the grace were passed on and cut without an answer, among them requests that may not be repeated.

Cause: a busy leaving node took requests up to half of its drain time whatever time they were allowed; and the steps after the drain ran past the grace (3.2 s of 3 s).

Ruled out: a gate that admits late (it stops at 0.2); refusing all from the start (callers come until two misses, and nearly all of these requests end in time).

Change: from 0.4 of the drain time on a request whose timeout would end after the drain is refused as not run, with Retry-After. The drain ends at least 0.5 s before the grace.

--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -13,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** An HTTP server on one address of a node. */
@@ -27,6 +29,9 @@
     private volatile boolean mLeaving;
     private volatile boolean mRefusing;
 
+    /** The monotonic time at which every request must have ended; empty without a limit. */
+    private volatile OptionalLong mEndNanos = OptionalLong.empty();
+
     private HttpServer(
             final Transport transport,
             final HttpLimits limits,
@@ -47,6 +52,7 @@
                         localPrefix,
                         () -> mLeaving,
                         () -> mRefusing,
+                        this::remainingMillis,
                         names,
                         service,
                         metrics);
@@ -182,6 +188,23 @@
         mLeaving = true;
     }
 
+    /**
+     * Refuses each request from now on whose timeout ends too late, without running it.
+     *
+     * @param endNanos the time at which every request must have ended, by the monotonic clock in
+     *     nanoseconds
+     */
+    public void takeOnlyUntil(final long endNanos) {
+        mEndNanos = OptionalLong.of(endNanos);
+    }
+
+    private long remainingMillis() {
+        final OptionalLong endNanos = mEndNanos;
+        return endNanos.isPresent()
+                ? TimeUnit.NANOSECONDS.toMillis(endNanos.getAsLong() - System.nanoTime())
+                : Long.MAX_VALUE;
+    }
+
     /** Refuses each request from now on without running it, and closes its connection. */
     public void refuseNewRequests() {
         mRefusing = true;
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -133,6 +133,10 @@
         }
         final boolean idempotent = isIdempotent(route, entry, path);
         final CallHead call = mHead.toCallHead(mService, idempotent, route);
+        if (mSettings.mayOutliveNode(call.timeoutMillis())) {
+            refuse(ErrorCode.LEAVING, true, LEAVING_RETRY_MILLIS);
+            return;
+        }
         mBodySink = mSettings.router().route(route, call, mCtx.executor(), this);
         startReading(bodyBytes);
     }
--- a/src/main/java/io/bilberrylane/http/IngressSettings.java
+++ b/src/main/java/io/bilberrylane/http/IngressSettings.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -16,6 +17,7 @@
  * @param localPrefix the path prefix of requests to the node itself
  * @param leaving whether responses close their connections
  * @param refusing whether new requests are refused
+ * @param remainingMillis how long a request that arrives now may last, in milliseconds
  * @param names the header fields that callers use
  * @param service the service that runs beside the node, sent to targets; may be empty
  * @param metrics records calls and their outcomes
@@ -28,6 +30,7 @@
         String localPrefix,
         BooleanSupplier leaving,
         BooleanSupplier refusing,
+        LongSupplier remainingMillis,
         HeaderNames names,
         String service,
         IngressMetrics metrics) {
@@ -43,6 +46,11 @@
         return refusing.getAsBoolean();
     }
 
+    /** Returns whether a request may last longer than the node that would take it. */
+    boolean mayOutliveNode(final long timeoutMillis) {
+        return timeoutMillis > remainingMillis.getAsLong();
+    }
+
     boolean isLeaving() {
         return leaving.getAsBoolean();
     }
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -35,6 +35,12 @@
     private static final double REFUSE_FRACTION = 0.5;
     private static final double DRAIN_END_FRACTION = 0.95;
 
+    /** The least time from the end of the drain to that of the process, in milliseconds. */
+    private static final long MIN_CLOSE_MILLIS = 500;
+
+    /** A request that is taken late ends by its timeout at least this long before the drain. */
+    private static final long LATE_REQUEST_MARGIN_MILLIS = 100;
+
     /** How long a connection that has sent nothing stays open after the listener was closed. */
     private static final long LAST_REQUEST_WAIT_NANOS = 300_000_000L;
 
@@ -399,7 +405,8 @@
      *
      * <p>Callers are moved away first: the node is no longer ready, and each response closes its
      * connection. Requests that still arrive are served during the first half of the drain time and
-     * refused after that, so that all accepted requests can finish.
+     * refused after that, so that all accepted requests can finish. Once callers have had the time
+     * to move, only requests whose timeout ends within the drain time are taken.
      */
     public void leave() {
         LOGGER.atInfo().log("node %s is leaving", mIdentity.host());
@@ -413,6 +420,12 @@
         mGate.leave();
         mMembership.announceTarget(mGate.record());
         sleepUntil(startNanos, CALLERS_MOVED_FRACTION);
+        final long lastEndNanos =
+                startNanos
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                millisAt(DRAIN_END_FRACTION) - LATE_REQUEST_MARGIN_MILLIS);
+        mCallerServer.takeOnlyUntil(lastEndNanos);
+        mTargetServer.takeOnlyUntil(lastEndNanos);
         awaitIdle(startNanos, REFUSE_FRACTION);
         mCallerServer.refuseNewRequests();
         mTargetServer.refuseNewRequests();
@@ -452,7 +465,14 @@
 
     private long remainingMillis(final long startNanos, final double fraction) {
         final long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-        return Math.max(0, Math.round(mSettings.drainMillis() * fraction) - elapsedMillis);
+        return Math.max(0, millisAt(fraction) - elapsedMillis);
+    }
+
+    /** Returns when a step of the drain ends, in milliseconds after its start. */
+    private long millisAt(final double fraction) {
+        final long drainMillis = mSettings.drainMillis();
+        return Math.max(
+                0, Math.min(Math.round(drainMillis * fraction), drainMillis - MIN_CLOSE_MILLIS));
     }
 
     private boolean isBusy() {
--- a/src/test/java/io/bilberrylane/node/PlatformNode.java
+++ b/src/test/java/io/bilberrylane/node/PlatformNode.java
@@ -11,7 +11,6 @@
 import io.bilberrylane.standin.PlatformStandIn;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -21,7 +20,7 @@
 /** One real node with the interface of the users' platform, beside a scripted target. */
 final class PlatformNode implements AutoCloseable {
     private static final String SERVICE = "desk";
-    private static final long DRAIN_MILLIS = 3_000;
+    static final long DRAIN_MILLIS = 3_000;
     private static final int READ_TIMEOUT_MILLIS = 6_000;
 
     /** Routes /safe/ and /unsafe/ to the service, without health checks. */
@@ -39,39 +38,52 @@
 
     private final ResourceCloser mCloser = ResourceCloser.empty();
     private final Transport mTransport = mCloser.add(Transport.of(1));
+    private final URI mPlatform;
     private final Node mNode;
 
     private PlatformNode(final ScriptedWorker worker) throws IOException {
         final PlatformStandIn platform =
                 mCloser.add(
                         PlatformStandIn.start(mTransport, Fleet.loopback(), PlatformFaults.NONE));
-        final URI uri = URI.create("http://127.0.0.1:" + platform.address().getPort());
-        PlatformClient.of(mTransport, uri, 2_000)
+        mPlatform = URI.create("http://127.0.0.1:" + platform.address().getPort());
+        PlatformClient.of(mTransport, mPlatform, 2_000)
                 .create("config", "main", new ObjectMapper().readTree(CONFIGURATION))
                 .join();
-        mNode =
-                mCloser.add(
-                        Node.start(
-                                new NodeSettings(
-                                        "node-1",
-                                        "dc-1",
-                                        Map.of(),
-                                        SERVICE,
-                                        new NodeAddresses(
-                                                Fleet.loopback(),
-                                                Fleet.loopback(),
-                                                Fleet.loopback(),
-                                                Fleet.loopback(),
-                                                Optional.empty()),
-                                        uri,
-                                        1,
-                                        DRAIN_MILLIS,
-                                        FleetBounds.DEFAULT,
-                                        PlatformProfile.of("", 60_000))));
+        mNode = startNode("node-1");
         beat(worker.address());
         Fleet.await(() -> mNode.revision() > 0 && mNode.targetCount(SERVICE) == 1);
     }
 
+    /** Starts another node, which has no target. */
+    Node startIngress() {
+        final Node ingress = startNode("ingress");
+        Fleet.await(() -> ingress.revision() > 0 && ingress.targetCount(SERVICE) == 1);
+        return ingress;
+    }
+
+    private Node startNode(final String host) {
+        final NodeAddresses addresses =
+                new NodeAddresses(
+                        Fleet.loopback(),
+                        Fleet.loopback(),
+                        Fleet.loopback(),
+                        Fleet.loopback(),
+                        Optional.empty());
+        return mCloser.add(
+                Node.start(
+                        new NodeSettings(
+                                host,
+                                "dc-1",
+                                Map.of(),
+                                SERVICE,
+                                addresses,
+                                mPlatform,
+                                1,
+                                DRAIN_MILLIS,
+                                FleetBounds.DEFAULT,
+                                PlatformProfile.of("", 60_000))));
+    }
+
     static PlatformNode beside(final ScriptedWorker worker) throws IOException {
         return new PlatformNode(worker);
     }
@@ -94,17 +106,6 @@
                 .join();
     }
 
-    Node node() {
-        return mNode;
-    }
-
-    /** Opens a connection as a caller. */
-    Socket connect() throws IOException {
-        final Socket socket = new Socket("127.0.0.1", mNode.callerAddress().getPort());
-        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-        return socket;
-    }
-
     /** Returns a request of a caller without a body. */
     static String request(final String method, final String path, final String id) {
         return method
@@ -117,10 +118,14 @@
 
     /** Sends a request on a connection of its own; returns all that comes until its end. */
     String exchange(final String request) throws IOException {
-        try (Socket socket = connect()) {
+        return exchange(mNode, request);
+    }
+
+    static String exchange(final Node node, final String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", node.callerAddress().getPort())) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            final InputStream in = socket.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
 
