Let no Connection field remove the framing or identity of a message

Cause: the ingress dropped every field that the sender declared as hop-by-hop, and the gate relied on the caller's Content-Length for bodies of known length. By the same cause, found by the test: a target's Connection field took the signature from its response after it was checked, and a caller's took the identity that the gate awaits.

Ruled out: Transfer-Encoding in every spelling of the test, trailers, lengths named twice, HTTP/1.0 with chunks; these were refused before.

Change: fields of framing, addressee and identity are never hop-by-hop, in either direction; the gate frames by the length that was read; two identities are refused with 400.

--- a/src/main/java/io/bilberrylane/http/HeaderNames.java
+++ b/src/main/java/io/bilberrylane/http/HeaderNames.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The header fields that nodes, callers and targets exchange.
@@ -102,6 +103,31 @@
         return Set.copyOf(all);
     }
 
+    /**
+     * Returns whether a header field tells how a message is framed, whom it is for or whose it is.
+     * No {@code Connection} field of a sender may remove such a field.
+     *
+     * @param name the name of the field
+     * @return true if the field is never hop-by-hop
+     */
+    public boolean isEndToEnd(final String name) {
+        return Stream.of(
+                        "Content-Length",
+                        "Host",
+                        Headers.IDEMPOTENCY_KEY,
+                        Headers.SERVICE,
+                        requestId,
+                        timeoutMillis,
+                        targetId,
+                        responseTargetId,
+                        callerService,
+                        load,
+                        notRun,
+                        signature,
+                        coldMillis)
+                .anyMatch(name::equalsIgnoreCase);
+    }
+
     /**
      * Returns the header fields of a target's response that are of no use to callers, in lower
      * case.
--- a/src/main/java/io/bilberrylane/http/Headers.java
+++ b/src/main/java/io/bilberrylane/http/Headers.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** The header fields of the project and the rules for forwarding header fields. */
 public final class Headers {
@@ -58,12 +59,14 @@
      *
      * @param headers the header fields of the message
      * @param excluded further names that are not forwarded, in lower case
+     * @param isKept whether the sender cannot declare a name as hop-by-hop
      * @return all fields but the excluded ones and the hop-by-hop ones, which concern only one
      *     connection
      */
     public static List<HeaderField> endToEnd(
-            final HttpHeaders headers, final Set<String> excluded) {
+            final HttpHeaders headers, final Set<String> excluded, final Predicate<String> isKept) {
         final Set<String> connectionOptions = connectionOptions(headers);
+        connectionOptions.removeIf(isKept);
         final List<HeaderField> fields = new ArrayList<>();
         for (final Map.Entry<String, String> entry : headers) {
             final String name = entry.getKey().toLowerCase(Locale.ROOT);
--- a/src/main/java/io/bilberrylane/http/InboundHead.java
+++ b/src/main/java/io/bilberrylane/http/InboundHead.java
@@ -88,7 +88,8 @@
     private List<HeaderField> headers() {
         final HeaderNames names = mSettings.names();
         final List<HeaderField> fields =
-                Headers.endToEnd(mRequest.headers(), names.reservedRequestFields());
+                Headers.endToEnd(
+                        mRequest.headers(), names.reservedRequestFields(), names::isEndToEnd);
         if (!mSettings.service().isEmpty()) {
             fields.add(new HeaderField(names.callerService(), mSettings.service()));
         }
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -122,7 +122,7 @@
     private void start(final HttpRequest request) {
         mEncoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
         mExchange = new InboundExchange(mCtx, this, mSettings, request);
-        final Optional<ErrorCode> error = RequestValidator.validate(request);
+        final Optional<ErrorCode> error = RequestValidator.validate(request, mSettings.names());
         if (error.isPresent()) {
             mExchange.refuseMalformed(error.get());
             return;
--- a/src/main/java/io/bilberrylane/http/RequestValidator.java
+++ b/src/main/java/io/bilberrylane/http/RequestValidator.java
@@ -17,11 +17,11 @@
     private RequestValidator() {}
 
     /** Returns the error that a request is refused with, or empty if it is valid. */
-    static Optional<ErrorCode> validate(final HttpRequest request) {
+    static Optional<ErrorCode> validate(final HttpRequest request, final HeaderNames names) {
         if (request.decoderResult().isFailure()) {
             return Optional.of(errorCodeOf(request.decoderResult().cause()));
         }
-        return isValid(request) ? Optional.empty() : Optional.of(ErrorCode.BAD_REQUEST);
+        return isValid(request, names) ? Optional.empty() : Optional.of(ErrorCode.BAD_REQUEST);
     }
 
     static ErrorCode errorCodeOf(final Throwable cause) {
@@ -31,7 +31,7 @@
                 : ErrorCode.BAD_REQUEST;
     }
 
-    private static boolean isValid(final HttpRequest request) {
+    private static boolean isValid(final HttpRequest request, final HeaderNames names) {
         final boolean supportedVersion =
                 request.protocolVersion().equals(HttpVersion.HTTP_1_1)
                         || request.protocolVersion().equals(HttpVersion.HTTP_1_0);
@@ -40,6 +40,7 @@
                 && isOriginOrAsteriskForm(request.uri())
                 && hasOneHost(request)
                 && hasSupportedTransferCoding(request)
+                && hasAtMostOneIdentity(request, names)
                 && hasValidIdempotencyKey(request);
     }
 
@@ -59,6 +60,13 @@
                 || codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked");
     }
 
+    /** A target may take another one of several identities than the node. */
+    private static boolean hasAtMostOneIdentity(
+            final HttpRequest request, final HeaderNames names) {
+        return !names.isRequestIdSetByCaller()
+                || request.headers().getAll(names.requestId()).size() <= 1;
+    }
+
     private static boolean hasValidIdempotencyKey(final HttpRequest request) {
         final List<String> keys = request.headers().getAll(Headers.IDEMPOTENCY_KEY);
         return keys.isEmpty()
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -444,7 +444,10 @@
         final ResponseHead head =
                 new ResponseHead(
                         mStatus,
-                        Headers.endToEnd(response.headers(), names.internalResponseFields()),
+                        Headers.endToEnd(
+                                response.headers(),
+                                names.internalResponseFields(),
+                                names::isEndToEnd),
                         names.isNotRun(mStatus, response.headers()));
         mKeyedRun.ifPresent(keyedRun -> keyedRun.onResponseHead(head));
         if (!mCancelled) {
--- a/src/main/java/io/bilberrylane/node/TargetRequest.java
+++ b/src/main/java/io/bilberrylane/node/TargetRequest.java
@@ -28,10 +28,7 @@
         if (!request.headers().contains(HttpHeaderNames.HOST)) {
             request.headers().set(HttpHeaderNames.HOST, head.service());
         }
-        if (head.bodyBytes() < 0) {
-            request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-            HttpUtil.setTransferEncodingChunked(request, true);
-        }
+        setFraming(request, head.bodyBytes());
         request.headers().set(names.timeoutMillis(), Math.max(0, remainingMillis));
         if (!names.isRequestIdSetByCaller()) {
             request.headers().set(names.requestId(), head.callId());
@@ -41,4 +38,16 @@
         }
         return request;
     }
+
+    /** Frames the body by what the node has read, not by the header fields of the caller. */
+    private static void setFraming(final HttpRequest request, final long bodyBytes) {
+        request.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+        final boolean hasLength = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (bodyBytes < 0) {
+            HttpUtil.setTransferEncodingChunked(request, true);
+        } else if (bodyBytes > 0 || hasLength) {
+            HttpUtil.setContentLength(request, bodyBytes);
+        }
+    }
 }
--- a/src/test/java/io/bilberrylane/node/ScriptedWorker.java
+++ b/src/test/java/io/bilberrylane/node/ScriptedWorker.java
@@ -21,15 +21,10 @@
     static final String SIGNATURE = "X-Response-Signature: 3e1b.07.5a2\r\n";
 
     /** A request that has arrived completely. */
-    record Request(String head, int numberOnConnection, Socket socket) {
+    record Request(String head, String body, int numberOnConnection, Socket socket) {
         /** Returns the value of a header field; empty if there is none. */
         String field(final String name) {
-            for (final String line : head.split("\r\n")) {
-                if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
-                    return line.substring(name.length() + 1).trim();
-                }
-            }
-            return "";
+            return fieldOf(head, name);
         }
 
         String id() {
@@ -105,10 +100,7 @@
                 if (head.isEmpty()) {
                     return;
                 }
-                final Request request = new Request(head, number, socket);
-                final String length = request.field("Content-Length");
-                in.skipNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
-                mScript.answer(request);
+                mScript.answer(new Request(head, readBody(in, head), number, socket));
             }
         } catch (IOException e) {
             // The connection has ended, which the test sees at the other end.
@@ -117,6 +109,47 @@
         }
     }
 
+    private static String fieldOf(final String head, final String name) {
+        for (final String line : head.split("\r\n")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                return line.substring(name.length() + 1).trim();
+            }
+        }
+        return "";
+    }
+
+    private static String readBody(final InputStream in, final String head) throws IOException {
+        if (fieldOf(head, "Transfer-Encoding").equalsIgnoreCase("chunked")) {
+            return readChunks(in);
+        }
+        final String length = fieldOf(head, "Content-Length");
+        return readBytes(in, length.isEmpty() ? 0 : Integer.parseInt(length));
+    }
+
+    private static String readChunks(final InputStream in) throws IOException {
+        final StringBuilder body = new StringBuilder();
+        while (true) {
+            final int length = Integer.parseInt(readLine(in), 16);
+            body.append(readBytes(in, length));
+            readLine(in);
+            if (length == 0) {
+                return body.toString();
+            }
+        }
+    }
+
+    private static String readBytes(final InputStream in, final int length) throws IOException {
+        return new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
+    private static String readLine(final InputStream in) throws IOException {
+        final StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
+            line.append((char) next);
+        }
+        return line.toString().trim();
+    }
+
     private static String readHead(final InputStream in) throws IOException {
         final StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
