Hold the parts of a body until the current gate has admitted the call

Cause: after the link to the gate that had admitted the call was lost, parts of the body went to the next gate before it had admitted the call; when that one stayed silent, a third one got only the rest.

Ruled out: a loss on a link (the parts were sent, to the wrong gate); refusing the call once a part has arrived (it has run nowhere and can be served).

A gate that has not admitted a call gets nothing of its body.

--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -58,6 +58,7 @@
     private Attempt mAttempt;
     private ScheduledFuture<?> mDeadline;
     private boolean mRetryGranted;
+    private final HeldBody mHeldBody = new HeldBody();
     private boolean mBodySent;
     private boolean mHeadForwarded;
     private boolean mMayHaveRun;
@@ -232,6 +233,7 @@
             return false;
         }
         mFinished = true;
+        mHeldBody.release();
         mTrail.write(mHead, mRoute, mPlan, outcome, elapsedMillis());
         mDeadline.cancel(false);
         mRouter.callEnded();
@@ -260,15 +262,23 @@
             bytes.release();
             return;
         }
-        mBodySent = true;
-        mAttempt.mBody.data(bytes);
+        mHeldBody.add(bytes);
+        sendHeldBody();
     }
 
     @Override
     public void end() {
         if (!mFinished) {
+            mHeldBody.end();
+            sendHeldBody();
+        }
+    }
+
+    /** Sends the body to the gate that has admitted the call; another one gets nothing of it. */
+    private void sendHeldBody() {
+        if (mAttempt.mAdmitted && !mAttempt.mClosed && !mHeldBody.isEmpty()) {
             mBodySent = true;
-            mAttempt.mBody.end();
+            mHeldBody.sendTo(mAttempt.mBody);
         }
     }
 
@@ -371,6 +381,7 @@
                     () -> {
                         mAdmitted = true;
                         if (!mClosed) {
+                            sendHeldBody();
                             mSink.onAdmitted(load);
                         }
                     });
--- a/src/test/java/io/bilberrylane/node/PlatformNode.java
+++ b/src/test/java/io/bilberrylane/node/PlatformNode.java
@@ -39,6 +39,7 @@
     private final ResourceCloser mCloser = ResourceCloser.empty();
     private final Transport mTransport = mCloser.add(Transport.of(1));
     private final URI mPlatform;
+    private final String mWorkerAddress;
     private final Node mNode;
 
     private PlatformNode(final ScriptedWorker worker) throws IOException {
@@ -50,7 +51,8 @@
                 .create("config", "main", new ObjectMapper().readTree(CONFIGURATION))
                 .join();
         mNode = startNode("node-1");
-        beat(worker.address());
+        mWorkerAddress = worker.address();
+        beat(mWorkerAddress, "ready", 1);
         Fleet.await(() -> mNode.revision() > 0 && mNode.targetCount(SERVICE) == 1);
     }
 
@@ -88,14 +90,19 @@
         return new PlatformNode(worker);
     }
 
-    private void beat(final String workerAddress) {
+    /** Sends a heartbeat of the worker with a state and a sequence number from 2. */
+    void beat(final String state, final int sequence) {
+        beat(mWorkerAddress, state, sequence);
+    }
+
+    private void beat(final String workerAddress, final String state, final int sequence) {
         final String body =
                 """
                 {"address":"%s","born":1000,
-                 "info":{"service":"desk","version":"v","zone":"dc-1","slots":6},
-                 "status":{"state":"ready","seqNo":1,"coldRemainingS":0}}
+                 "info":{"service":"desk","version":"v","zone":"dc-1","slots":32},
+                 "status":{"state":"%s","seqNo":%d,"coldRemainingS":0}}
                 """
-                        .formatted(workerAddress);
+                        .formatted(workerAddress, state, sequence);
         SimpleHttpClient.of(mTransport)
                 .call(
                         mNode.targetAddress(),
@@ -106,6 +113,17 @@
                 .join();
     }
 
+    Node node() {
+        return mNode;
+    }
+
+    /** Opens a connection as a caller. */
+    Socket connect() throws IOException {
+        final Socket socket = new Socket("127.0.0.1", mNode.callerAddress().getPort());
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
     /** Returns a request of a caller without a body. */
     static String request(final String method, final String path, final String id) {
         return method
