Keep SIGHUP from ending a node that is starting

Seen by the review: SIGHUP in the first 0.6 s of a process ended it (6 of 6, exit 129).

Cause: the handler was installed when the node was ready; until then the default action of the signal applied. Change: the node command captures the signal first; one that arrives before the settings can be reloaded takes effect then. The moment before main, in which the runtime itself starts, remains.

--- a/src/main/java/io/bilberrylane/cli/Main.java
+++ b/src/main/java/io/bilberrylane/cli/Main.java
@@ -20,6 +20,7 @@
     private static final int HELP_WIDTH_COLUMNS = 100;
 
     private static final String COMMAND = "command";
+    private static final String NODE_COMMAND = "node";
 
     private Main() {}
 
@@ -29,6 +30,9 @@
      * @param arguments the command line
      */
     public static void main(final String[] arguments) {
+        if (arguments.length > 0 && arguments[0].equals(NODE_COMMAND)) {
+            HangUpSignal.capture();
+        }
         System.exit(run(arguments, System.getenv()));
     }
 
--- a/src/main/java/io/bilberrylane/cli/SettingsReloader.java
+++ b/src/main/java/io/bilberrylane/cli/SettingsReloader.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import sun.misc.Signal;
 
 /** Reloads the settings file on SIGHUP, and when its text changes without a signal. */
 final class SettingsReloader {
@@ -53,7 +52,7 @@
                 CHECK_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
         final GuardedTask reload = GuardedTask.of("settings reload", reloader::reload);
-        Signal.handle(new Signal("HUP"), signal -> executor.execute(reload));
+        HangUpSignal.setAction(() -> executor.execute(reload));
     }
 
     private void reloadIfChanged() {
