Record the end of runs that break or are aborted

Seen by the review, by reading: a run ended by GateCall.abortRun or onFailure stayed STARTED in the gate's table of calls for ever; memory grew, and each new call passed over all of them.

Cause: only a whole response moved a call to a terminal phase. Change: every end of a run does. The phase still says that the call may have run, and the entry expires like the others.

Evidence: RunEndTest, both cases red before (phase STARTED after a broken connection and after the caller left), green with it.

--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -516,6 +516,7 @@
                     }
                     close();
                     logRun("broken:" + cause);
+                    mGate.markFinished(mHead.callId());
                     if (mStatus == 0) {
                         mGate.onConnectionBroken(mHead, mTarget);
                     }
@@ -568,6 +569,7 @@
     private void abortRun(final boolean healthy) {
         close();
         logRun(mCancelled ? "caller-left" : "given-up");
+        mGate.markFinished(mHead.callId());
         mKeyedRun.ifPresent(KeyedRun::markOutcomeUnknown);
         final long serviceNanos = healthy ? -1 : System.nanoTime() - mStartedNanos;
         mConnection.abort(() -> releaseSlot(healthy, serviceNanos));
