Let a leave bind only the process that it names

Seen by the review, by reading: a late leave of an earlier process of a target took out the new one of the same id, for up to 30 s.

Cause: the endpoint did not read which process leaves, and took the one that it knew. Change: the incarnation in a leave is read; it binds that process and earlier ones. A leave without one counts for the process that is known, as before. A departure that is known is never shortened.

Evidence: TargetHistoryTest.Departures and DepartureTest.shouldKeepTheNewProcess... with the new signature; the old one had no place for the incarnation, so they could not be run before.

--- a/src/main/java/io/bilberrylane/membership/TargetHistory.java
+++ b/src/main/java/io/bilberrylane/membership/TargetHistory.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * Remembers the announcements and departures of the targets on one host, so that a late
@@ -117,13 +118,22 @@
      * Records that a target has left permanently.
      *
      * @param id the target's identity
+     * @param named the process that leaves; empty if the departure does not name it
      * @param wallClockMillis the time since 1970, in milliseconds; used as the latest possible
-     *     start of the process if none of its announcements is known
+     *     start of the process if it is not named and none of its announcements is known
      * @param nowMillis the monotonic clock, in milliseconds
      */
-    public void recordDeparture(final String id, final long wallClockMillis, final long nowMillis) {
+    public void recordDeparture(
+            final String id,
+            final OptionalLong named,
+            final long wallClockMillis,
+            final long nowMillis) {
         final boolean isKnown = mLatest != null && mLatest.id().equals(id);
-        final long incarnation = isKnown ? mLatest.incarnation() : wallClockMillis;
+        final long incarnation = named.orElse(isKnown ? mLatest.incarnation() : wallClockMillis);
+        final RecordedDeparture known = mDepartures.get(id);
+        if (known != null && known.departure().incarnation() > incarnation) {
+            return;
+        }
         record(Departure.permanent(id, incarnation), nowMillis);
     }
 
--- a/src/main/java/io/bilberrylane/membership/TargetRegistry.java
+++ b/src/main/java/io/bilberrylane/membership/TargetRegistry.java
@@ -1,5 +1,6 @@
 package io.bilberrylane.membership;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 
 /** Registers the local target of a node by its announcements. */
@@ -18,9 +19,10 @@
      * Marks a target as leaving: it gets no new calls and is never registered again.
      *
      * @param id the target's identity
+     * @param incarnation the process that leaves; empty if it is not named
      * @return completes when the departure may be acknowledged
      */
-    CompletionStage<Void> markLeaving(String id);
+    CompletionStage<Void> markLeaving(String id, OptionalLong incarnation);
 
     /**
      * Removes the target immediately, regardless of its identity.
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -38,6 +38,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -234,12 +235,17 @@
      * process are ignored.
      *
      * @param id the target's identity
+     * @param incarnation the process that leaves; empty if it is not named
      * @return whether the change must be announced to other nodes
      */
-    public synchronized boolean markTargetLeaving(final String id) {
-        mTargetHistory.recordDeparture(id, System.currentTimeMillis(), monotonicMillis());
+    public synchronized boolean markTargetLeaving(final String id, final OptionalLong incarnation) {
+        mTargetHistory.recordDeparture(
+                id, incarnation, System.currentTimeMillis(), monotonicMillis());
         final GateTarget target = mTarget;
-        if (target == null || !target.announcement().id().equals(id)) {
+        if (target == null
+                || !target.announcement().id().equals(id)
+                || target.announcement().incarnation()
+                        > incarnation.orElse(target.announcement().incarnation())) {
             return false;
         }
         LOGGER.atInfo().log("target %s is leaving", id);
@@ -258,7 +264,10 @@
         final GateTarget target = mTarget;
         if (target != null) {
             mTargetHistory.recordDeparture(
-                    target.announcement().id(), System.currentTimeMillis(), monotonicMillis());
+                    target.announcement().id(),
+                    OptionalLong.of(target.announcement().incarnation()),
+                    System.currentTimeMillis(),
+                    monotonicMillis());
         }
         return withdrawTarget();
     }
--- a/src/main/java/io/bilberrylane/node/GateTargetRegistry.java
+++ b/src/main/java/io/bilberrylane/node/GateTargetRegistry.java
@@ -3,6 +3,7 @@
 import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetRegistry;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 
 /**
@@ -32,8 +33,8 @@
     }
 
     @Override
-    public CompletionStage<Void> markLeaving(final String id) {
-        if (mGate.markTargetLeaving(id)) {
+    public CompletionStage<Void> markLeaving(final String id, final OptionalLong incarnation) {
+        if (mGate.markTargetLeaving(id, incarnation)) {
             mMembership.announceTarget(mGate.record());
         }
         return mDepartureStore.save();
--- a/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
+++ b/src/main/java/io/bilberrylane/platform/HeartbeatEndpoint.java
@@ -8,6 +8,7 @@
 import io.bilberrylane.http.LocalResponse;
 import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetRegistry;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
@@ -52,7 +53,7 @@
         }
         if (path.startsWith(LEAVE_PATH)) {
             return mRegistry
-                    .markLeaving(path.substring(LEAVE_PATH.length()))
+                    .markLeaving(path.substring(LEAVE_PATH.length()), bornOf(body))
                     .thenApply(done -> ACKNOWLEDGED);
         }
         return LocalResponse.json(404, "{\"error\":\"not-found\"}").now();
@@ -106,6 +107,19 @@
                 millis(status, "coldRemainingS"));
     }
 
+    /**
+     * Returns the process that a leave names. A leave without one counts for the process that is
+     * known here.
+     */
+    private static OptionalLong bornOf(final String body) {
+        try {
+            return OptionalLong.of(integer(MAPPER.readTree(body), "born"));
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            LOGGER.atFine().log("leave without an incarnation: %s", e.getMessage());
+            return OptionalLong.empty();
+        }
+    }
+
     private static boolean isDraining(final String state) {
         return switch (state) {
             case "ready" -> false;
--- a/src/test/java/io/bilberrylane/membership/TargetHistoryTest.java
+++ b/src/test/java/io/bilberrylane/membership/TargetHistoryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -44,16 +45,32 @@
         @Test
         void shouldBindTheProcessThatLeft() {
             mHistory.recordAnnouncement(announcement("i-1", 10, 1), 0);
-            mHistory.recordDeparture("i-1", WALL_MILLIS, 1);
+            mHistory.recordDeparture("i-1", OptionalLong.empty(), WALL_MILLIS, 1);
             assertThat(mHistory.isObsolete(announcement("i-1", 10, 2), 2)).isTrue();
             assertThat(mHistory.isObsolete(announcement("i-1", 11, 0), 2)).isFalse();
             assertThat(mHistory.isObsolete(announcement("i-2", 10, 2), 2)).isFalse();
         }
 
+        // Guards against: a late leave of an earlier process takes out the new one of the same id.
+        @Test
+        void shouldBindOnlyTheProcessThatItNames() {
+            mHistory.recordAnnouncement(announcement("i-1", 20, 1), 0);
+            mHistory.recordDeparture("i-1", OptionalLong.of(10), WALL_MILLIS, 1);
+            assertThat(mHistory.isObsolete(announcement("i-1", 20, 2), 2)).isFalse();
+            assertThat(mHistory.isObsolete(announcement("i-1", 10, 2), 2)).isTrue();
+        }
+
+        @Test
+        void shouldNotBindLessWhenALeaveOfAnEarlierProcessFollows() {
+            mHistory.recordDeparture("i-1", OptionalLong.of(20), WALL_MILLIS, 1);
+            mHistory.recordDeparture("i-1", OptionalLong.of(10), WALL_MILLIS, 2);
+            assertThat(mHistory.isObsolete(announcement("i-1", 20, 2), 3)).isTrue();
+        }
+
         /** The node has restarted, and the departure is the first that it hears of the target. */
         @Test
         void shouldBindAProcessThatIsNotKnownYet() {
-            mHistory.recordDeparture("i-1", WALL_MILLIS, 1);
+            mHistory.recordDeparture("i-1", OptionalLong.empty(), WALL_MILLIS, 1);
             assertThat(mHistory.isObsolete(announcement("i-1", WALL_MILLIS - 5, 7), 2)).isTrue();
             assertThat(mHistory.isObsolete(announcement("i-1", WALL_MILLIS + 5, 0), 2)).isFalse();
         }
@@ -75,7 +92,7 @@
         @Test
         void shouldBindTheNextProcessOfTheNode() {
             mHistory.recordAnnouncement(announcement("i-1", 10, 1), 0);
-            mHistory.recordDeparture("i-1", WALL_MILLIS, 1);
+            mHistory.recordDeparture("i-1", OptionalLong.empty(), WALL_MILLIS, 1);
             assertThat(nextProcess().isObsolete(announcement("i-1", 10, 9), 1)).isTrue();
             assertThat(nextProcess().isObsolete(announcement("i-1", 11, 0), 1)).isFalse();
         }
@@ -98,7 +115,7 @@
         @Test
         void shouldKeepTheNewestOnly() {
             for (int i = 0; i < 20; i++) {
-                mHistory.recordDeparture("i-" + i, WALL_MILLIS, 0);
+                mHistory.recordDeparture("i-" + i, OptionalLong.empty(), WALL_MILLIS, 0);
             }
             assertThat(mHistory.lastingDepartures())
                     .hasSize(8)
@@ -119,7 +136,7 @@
             final TargetAnnouncement arriving =
                     announcement(id, 1 + random.nextInt(8), random.nextInt(20));
             if (random.nextInt(5) == 0) {
-                history.recordDeparture(id, WALL_MILLIS, i);
+                history.recordDeparture(id, OptionalLong.empty(), WALL_MILLIS, i);
                 final boolean isKnown = latest.id().equals(id);
                 leftIncarnations.put(id, isKnown ? latest.incarnation() : WALL_MILLIS);
             } else if (!history.isObsolete(arriving, i)) {
--- a/src/test/java/io/bilberrylane/node/DepartureTest.java
+++ b/src/test/java/io/bilberrylane/node/DepartureTest.java
@@ -69,7 +69,11 @@
         }
 
         private void leave() {
-            assertThat(call(HttpMethod.POST, "/-/Instances.Leave/i-1", "{}").status())
+            leave("{}");
+        }
+
+        private void leave(final String body) {
+            assertThat(call(HttpMethod.POST, "/-/Instances.Leave/i-1", body).status())
                     .isEqualTo(200);
         }
 
@@ -109,6 +113,16 @@
             Fleet.await(DepartureTest.this::isRegistered);
         }
 
+        @Test
+        void shouldKeepTheNewProcessWhenALeaveOfTheEarlierOneIsLate() throws Exception {
+            startNode();
+            beat("ready", 2_000, 1);
+            Fleet.await(DepartureTest.this::isRegistered);
+            leave("{\"born\":1000}");
+            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+            assertThat(isRegistered()).isTrue();
+        }
+
         /** The platform answers after the heartbeat, so it registers the target for a moment. */
         @Test
         void shouldRemoveTheTargetAgainWhenThePlatformAnswersLate() throws Exception {
--- a/src/test/java/io/bilberrylane/platform/HeartbeatEndpointTest.java
+++ b/src/test/java/io/bilberrylane/platform/HeartbeatEndpointTest.java
@@ -7,6 +7,7 @@
 import io.bilberrylane.membership.TargetRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Nested;
@@ -23,6 +24,7 @@
 
     private final List<TargetAnnouncement> mAnnounced = new ArrayList<>();
     private final List<String> mLeavingIds = new ArrayList<>();
+    private OptionalLong mLeavingIncarnation = OptionalLong.empty();
     private final HeartbeatEndpoint mEndpoint =
             new HeartbeatEndpoint(
                     new TargetRegistry() {
@@ -34,8 +36,10 @@
                         }
 
                         @Override
-                        public CompletionStage<Void> markLeaving(final String id) {
+                        public CompletionStage<Void> markLeaving(
+                                final String id, final OptionalLong incarnation) {
                             mLeavingIds.add(id);
+                            mLeavingIncarnation = incarnation;
                             return CompletableFuture.completedFuture(null);
                         }
 
@@ -120,6 +124,13 @@
         void shouldMarkTheWorkerLeavingWhenItSendsALeave() {
             assertThat(post("/-/Instances.Leave/i-1", "").status()).isEqualTo(200);
             assertThat(mLeavingIds).containsExactly("i-1");
+            assertThat(mLeavingIncarnation).isEmpty();
+        }
+
+        @Test
+        void shouldNameTheProcessThatLeaves() {
+            post("/-/Instances.Leave/i-1", "{'born':17}");
+            assertThat(mLeavingIncarnation).hasValue(17);
         }
 
         @Test
