--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -25,6 +25,12 @@
  * and the recorded events of the exchanges.
  */
 final class ScriptedTarget implements AutoCloseable {
+    /** A response with this field belongs to an earlier request. */
+    static final String EARLIER_ID = "Id: old\r\n";
+
+    static final String MISMATCHED = "mismatched";
+    static final String ABORTED = "aborted";
+
     /** An exchange ends with one of these events. */
     static final String COMPLETE = "complete";
 
@@ -90,9 +96,28 @@
                 cause -> mEvents.add("unreachable"));
     }
 
+    /** Sends a request without a body and aborts it at once. */
+    void sendAndAbort() {
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                connection -> {
+                    connection.send(
+                            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                            true,
+                            new Recorder(connection));
+                    connection.abort(() -> mEvents.add(ABORTED));
+                },
+                cause -> mEvents.add("unreachable"));
+    }
+
+    Socket accept() throws IOException {
+        return mServer.accept();
+    }
+
     /** Accepts the connection and waits for the beginning of the request. */
     Socket acceptRequest() throws IOException {
-        final Socket socket = mServer.accept();
+        final Socket socket = accept();
         if (socket.getInputStream().read() < 0) {
             throw new IOException("the connection was closed before the request");
         }
@@ -132,6 +157,10 @@
         return event;
     }
 
+    boolean hasEvents() {
+        return !mEvents.isEmpty();
+    }
+
     int openConnections() {
         return mPool.open();
     }
@@ -145,8 +174,9 @@
 
         @Override
         public boolean onResponse(final HttpResponse response) {
-            mEvents.add("head " + response.status().code());
-            return true;
+            final boolean matching = !"old".equals(response.headers().get("Id"));
+            mEvents.add(matching ? "head " + response.status().code() : MISMATCHED);
+            return matching;
         }
 
         @Override
--- a/src/test/java/io/bilberrylane/node/LostBeginningTest.java
+++ b/src/test/java/io/bilberrylane/node/LostBeginningTest.java
@@ -2,27 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.bilberrylane.membership.Member;
-import io.bilberrylane.membership.MemberStatus;
-import io.bilberrylane.membership.TargetRecord;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.BodySink;
 import io.bilberrylane.peer.CallHead;
 import io.bilberrylane.peer.CallOpener;
 import io.bilberrylane.peer.NodeIdentity;
-import io.bilberrylane.peer.PeerLinks;
-import io.bilberrylane.peer.PeerMessage;
 import io.bilberrylane.peer.PeerServer;
 import io.bilberrylane.peer.ResponseSink;
 import io.bilberrylane.policy.TargetLoad;
-import io.netty.buffer.ByteBuf;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -82,59 +75,23 @@
                 PeerServer.bind(
                         transport,
                         Fleet.loopback(),
-                        new NodeIdentity(host, "dc-1", 1),
+                        new NodeIdentity(host, "dc-1", StubGate.INCARNATION),
                         opener,
                         request -> {
                             throw new IllegalStateException("gates get calls only");
                         });
-        final Member member =
-                new Member(
-                        host,
-                        "dc-1",
-                        Addresses.format(server.address()),
-                        1,
-                        1,
-                        MemberStatus.ALIVE,
-                        Optional.of(new TargetRecord("desk", 1, 6, true)));
-        PeerLinks.of(transport, new NodeIdentity("tester", "dc-1", 1))
-                .request(
-                        mNode.node().peerAddress(),
-                        id -> new PeerMessage.SyncRequest(id, List.of(member)),
-                        2_000,
-                        reply -> {});
+        StubGate.announce(transport, mNode.node(), host, server.address(), "desk");
     }
 
     private BodySink admit(final CallHead head, final ResponseSink sink) {
         mAdmitted.incrementAndGet();
         sink.onAdmitted(TargetLoad.of(1, 0, 32, 1_000, true));
-        return new Discard();
+        return new StubGate.EndlessCall();
     }
 
     private BodySink sayNothing(final CallHead head, final ResponseSink sink) {
         mSilenced.incrementAndGet();
-        return new Discard();
-    }
-
-    private static final class Discard implements BodySink {
-        @Override
-        public void data(final ByteBuf bytes) {
-            bytes.release();
-        }
-
-        @Override
-        public void end() {
-            // This gate never runs anything.
-        }
-
-        @Override
-        public void cancel() {
-            // This gate never runs anything.
-        }
-
-        @Override
-        public void credit(final int bytes) {
-            // This gate sends no response.
-        }
+        return new StubGate.EndlessCall();
     }
 
     private String upload(final String id) {
--- a/src/test/java/io/bilberrylane/node/RestartedGateTest.java
+++ b/src/test/java/io/bilberrylane/node/RestartedGateTest.java
@@ -2,9 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.bilberrylane.membership.Member;
-import io.bilberrylane.membership.MemberStatus;
-import io.bilberrylane.membership.TargetRecord;
 import io.bilberrylane.net.HttpReply;
 import io.bilberrylane.net.SimpleHttpClient;
 import io.bilberrylane.net.Transport;
@@ -17,7 +14,6 @@
 import io.bilberrylane.peer.PeerServer;
 import io.bilberrylane.peer.ResponseSink;
 import io.bilberrylane.policy.TargetLoad;
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -40,7 +36,6 @@
     private static final int CALLS = 12;
     private static final long TIMEOUT_MILLIS = 4_000;
     private static final String HOST = "restarted";
-    private static final long OLD_INCARNATION = 1_000;
 
     private Fleet mFleet;
     private Transport mOldTransport;
@@ -55,7 +50,7 @@
                 PeerServer.bind(
                         mOldTransport,
                         Fleet.loopback(),
-                        new NodeIdentity(HOST, "dc-0", OLD_INCARNATION),
+                        new NodeIdentity(HOST, "dc-0", StubGate.INCARNATION),
                         this::startForever,
                         request -> {
                             throw new IllegalStateException("the old gate gets calls only");
@@ -76,45 +71,11 @@
     private BodySink startForever(final CallHead head, final ResponseSink sink) {
         mCallsAtOldGate.incrementAndGet();
         sink.onAdmitted(TargetLoad.ABSENT);
-        return new BodySink() {
-            @Override
-            public void data(final ByteBuf bytes) {
-                bytes.release();
-            }
-
-            @Override
-            public void end() {
-                // The target works on the call.
-            }
-
-            @Override
-            public void cancel() {
-                // The target works on the call.
-            }
-
-            @Override
-            public void credit(final int bytes) {
-                // There is no response.
-            }
-        };
+        return new StubGate.EndlessCall();
     }
 
     private void announceOldGate() {
-        final Member old =
-                new Member(
-                        HOST,
-                        "dc-0",
-                        Addresses.format(mOldGate.address()),
-                        OLD_INCARNATION,
-                        1,
-                        MemberStatus.ALIVE,
-                        Optional.of(new TargetRecord("calendar", 1, 6, true)));
-        PeerLinks.of(mOldTransport, new NodeIdentity("tester", "dc-0", 1))
-                .request(
-                        ingress().peerAddress(),
-                        id -> new PeerMessage.SyncRequest(id, List.of(old)),
-                        TIMEOUT_MILLIS,
-                        reply -> {});
+        StubGate.announce(mOldTransport, ingress(), HOST, mOldGate.address(), "calendar");
         Fleet.await(() -> ingress().targetCount("calendar") == 2);
     }
 
--- a/src/test/java/io/bilberrylane/node/SilentGateTest.java
+++ b/src/test/java/io/bilberrylane/node/SilentGateTest.java
@@ -2,22 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.bilberrylane.membership.Member;
-import io.bilberrylane.membership.MemberStatus;
-import io.bilberrylane.membership.TargetRecord;
 import io.bilberrylane.net.HttpReply;
 import io.bilberrylane.net.SimpleHttpClient;
 import io.bilberrylane.net.Transport;
-import io.bilberrylane.peer.NodeIdentity;
-import io.bilberrylane.peer.PeerLinks;
-import io.bilberrylane.peer.PeerMessage;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -62,22 +55,12 @@
     }
 
     private void announceSilentGate() {
-        final InetSocketAddress address = (InetSocketAddress) mSilentGate.localAddress();
-        final Member silent =
-                new Member(
-                        "silent",
-                        "dc-0",
-                        Addresses.format(address),
-                        1,
-                        1,
-                        MemberStatus.ALIVE,
-                        Optional.of(new TargetRecord("calendar", 1, 6, true)));
-        PeerLinks.of(mTransport, new NodeIdentity("tester", "dc-0", 1))
-                .request(
-                        node().peerAddress(),
-                        id -> new PeerMessage.SyncRequest(id, List.of(silent)),
-                        TIMEOUT_MILLIS,
-                        reply -> {});
+        StubGate.announce(
+                mTransport,
+                node(),
+                "silent",
+                (InetSocketAddress) mSilentGate.localAddress(),
+                "calendar");
         Fleet.await(() -> node().targetCount("calendar") == 2);
     }
 
