Show that the pool counts connections for ever that end with unread parts

Three tests (LeftUnread, known-red) show it without the matrix: after the pool's limit of such ends no connection is opened any more.

Cause, by reading: closing drops the queue of OneMessagePerReadHandler, and with it the pending end of the channel, so that the pool never learns of it.

--- a/src/test/java/io/bilberrylane/http/ResponseEndTest.java
+++ b/src/test/java/io/bilberrylane/http/ResponseEndTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -147,4 +148,42 @@
             assertThat(cutsThatComplete("GET", head, 0, false)).isEmpty();
         }
     }
+
+    @Nested
+    @Tag("known-red")
+    final class LeftUnread {
+        private static final int MORE_THAN_THE_LIMIT = 8;
+
+        // Guards against: the pool counts a connection for ever that the target closed while parts
+        // of a response were unread, until it opens no more and the target counts as unreachable.
+        @ParameterizedTest
+        @ValueSource(strings = {"\u0000\u0001 garbage\r\n\r\n", UNFRAMED + UNFRAMED})
+        void shouldGiveUpTheConnection(final String rest) throws Exception {
+            for (int i = 0; i < MORE_THAN_THE_LIMIT; i++) {
+                mTarget.send("GET", 0);
+                try (Socket socket = mTarget.acceptRequest()) {
+                    ScriptedTarget.readAvailable(socket);
+                    ScriptedTarget.write(
+                            socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" + rest);
+                }
+                assertThat(mTarget.end()).isEqualTo(ScriptedTarget.COMPLETE);
+            }
+        }
+
+        @Test
+        void shouldGiveUpTheConnectionOfAnAbortedExchange() throws Exception {
+            for (int i = 0; i < MORE_THAN_THE_LIMIT; i++) {
+                mTarget.sendAndAbortAtFirstPart();
+                try (Socket socket = mTarget.acceptRequest()) {
+                    ScriptedTarget.readAvailable(socket);
+                    ScriptedTarget.write(
+                            socket,
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + "1\r\na\r\n".repeat(40)
+                                    + "0\r\n\r\n");
+                }
+                assertThat(mTarget.end()).isEqualTo(ScriptedTarget.ABORTED);
+            }
+        }
+    }
 }
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -16,6 +16,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +37,10 @@
 
     static final String BROKEN = "broken";
 
+    private static final String UNREACHABLE = "unreachable";
+    private static final Set<String> ENDS = Set.of(COMPLETE, BROKEN, ABORTED, UNREACHABLE);
+    private static final int ACCEPT_TIMEOUT_MILLIS = 5_000;
+    private static final long ABORT_DELAY_MILLIS = 30;
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
     private static final long EVENT_TIMEOUT_SECONDS = 5;
 
@@ -55,6 +60,7 @@
     static ScriptedTarget listen() throws IOException {
         final ServerSocket server = new ServerSocket();
         server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
         server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
         final Transport transport = Transport.of(1);
         final TargetConnectionPool pool =
@@ -93,7 +99,36 @@
                         connection.endBody();
                     }
                 },
-                cause -> mEvents.add("unreachable"));
+                cause -> mEvents.add(UNREACHABLE));
+    }
+
+    /**
+     * Sends a request without a body, reads no more than the first part of the response, and aborts
+     * the exchange a little later.
+     */
+    void sendAndAbortAtFirstPart() {
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                connection ->
+                        connection.send(
+                                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                                true,
+                                new Recorder(connection) {
+                                    @Override
+                                    public void onContent(final ByteBuf bytes) {
+                                        bytes.release();
+                                        connection
+                                                .eventLoop()
+                                                .schedule(
+                                                        () ->
+                                                                connection.abort(
+                                                                        () -> mEvents.add(ABORTED)),
+                                                        ABORT_DELAY_MILLIS,
+                                                        TimeUnit.MILLISECONDS);
+                                    }
+                                }),
+                cause -> mEvents.add(UNREACHABLE));
     }
 
     /** Sends a request without a body and aborts it at once. */
@@ -108,7 +143,7 @@
                             new Recorder(connection));
                     connection.abort(() -> mEvents.add(ABORTED));
                 },
-                cause -> mEvents.add("unreachable"));
+                cause -> mEvents.add(UNREACHABLE));
     }
 
     Socket accept() throws IOException {
@@ -151,7 +186,7 @@
     /** Returns how the exchange ended; null if it did not. */
     String end() throws InterruptedException {
         String event = nextEvent();
-        while (event != null && !event.equals(COMPLETE) && !event.equals(BROKEN)) {
+        while (event != null && !ENDS.contains(event)) {
             event = nextEvent();
         }
         return event;
@@ -165,7 +200,7 @@
         return mPool.open();
     }
 
-    private final class Recorder implements TargetResponseListener {
+    private class Recorder implements TargetResponseListener {
         private final TargetConnection mConnection;
 
         private Recorder(final TargetConnection connection) {
