Let a request ask for a connection that has not carried its identity

A caller may send one request identity twice, and a target may answer the first sending late. On one kept connection that answer looks like the one to the second sending. A connection now remembers the identities that it has carried, as hash codes (a collision costs a new connection and no more), and acquire skips idle ones that carried the given identity. After 1,024 identities the connection is closed at the end of its exchange, which bounds the memory. Nothing passes an identity yet.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -16,6 +16,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +30,9 @@
     /** More responses that do not answer the request, such as informational ones, break it off. */
     private static final int MAX_SKIPPED_RESPONSES = 64;
 
+    /** A connection that has carried so many requests that have an identity is not used again. */
+    static final int MAX_IDENTITIES = 1_024;
+
     /** More bytes of responses to other requests break the exchange off. */
     private static final long MAX_SKIPPED_BYTES = 4L * 1024 * 1024;
 
@@ -41,6 +46,10 @@
     private int mSkippedResponses;
     private long mSkippedBytes;
     private int mExchangeCount;
+
+    /** Hashes suffice: two identities with the same one cost no more than a new connection. */
+    private final Set<Integer> mIdentityHashes = new HashSet<>();
+
     private boolean mReusable;
     private boolean mEndsWithConnection;
     private boolean mRequestSent;
@@ -81,26 +90,56 @@
         return mExchangeCount > 1;
     }
 
+    /**
+     * Returns whether the connection has carried a request with an identity. A late response to
+     * that request could then be taken for the response to another one with the same identity.
+     *
+     * @param identity the identity; empty if the request has none
+     * @return false if it certainly has not; always false for an empty identity
+     */
+    boolean hasCarried(final String identity) {
+        return !identity.isEmpty() && mIdentityHashes.contains(identity.hashCode());
+    }
+
     long idleNanos(final long nowNanos) {
         return nowNanos - mIdleSinceNanos;
     }
 
     // -- exchange
 
+    /**
+     * Starts an exchange of a request without an identity.
+     *
+     * @param request the head of the request
+     * @param endOfRequest whether the request has no body
+     * @param listener receives the response
+     */
+    public void send(
+            final HttpRequest request,
+            final boolean endOfRequest,
+            final TargetResponseListener listener) {
+        send(request, "", endOfRequest, listener);
+    }
+
     /**
      * Starts an exchange. From then on the target may have received the request.
      *
      * @param request the head of the request
+     * @param identity the identity that the target repeats in its response; empty if there is none
      * @param endOfRequest whether the request has no body
      * @param listener receives the response
      */
     public void send(
             final HttpRequest request,
+            final String identity,
             final boolean endOfRequest,
             final TargetResponseListener listener) {
         mListener = listener;
         mExchangeCount++;
-        mReusable = true;
+        if (!identity.isEmpty()) {
+            mIdentityHashes.add(identity.hashCode());
+        }
+        mReusable = mIdentityHashes.size() < MAX_IDENTITIES;
         mEndsWithConnection = false;
         mMethod = request.method().name();
         mSkippedResponses = 0;
--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -60,7 +60,7 @@
     // -- use
 
     /**
-     * Acquires a connection.
+     * Acquires a connection for a request without an identity.
      *
      * @param loop the preferred event loop of the connection; a new one is registered with it
      * @param maxIdleNanos the longest idle time of a connection that is reused, in nanoseconds
@@ -72,7 +72,26 @@
             final long maxIdleNanos,
             final Consumer<TargetConnection> onReady,
             final Consumer<Throwable> onFailed) {
-        final Optional<TargetConnection> idle = mLock.get(() -> takeIdle(loop, maxIdleNanos));
+        acquire(loop, maxIdleNanos, "", onReady, onFailed);
+    }
+
+    /**
+     * Acquires a connection that has not carried a request with the same identity.
+     *
+     * @param loop the preferred event loop of the connection; a new one is registered with it
+     * @param maxIdleNanos the longest idle time of a connection that is reused, in nanoseconds
+     * @param identity the identity of the request; empty if it has none
+     * @param onReady receives the connection, on the connection's event loop
+     * @param onFailed receives the cause; the target has not received anything
+     */
+    public void acquire(
+            final EventLoop loop,
+            final long maxIdleNanos,
+            final String identity,
+            final Consumer<TargetConnection> onReady,
+            final Consumer<Throwable> onFailed) {
+        final Optional<TargetConnection> idle =
+                mLock.get(() -> takeIdle(loop, maxIdleNanos, identity));
         if (idle.isPresent()) {
             final TargetConnection connection = idle.get();
             runOn(connection.eventLoop(), () -> onReady.accept(connection));
@@ -91,13 +110,16 @@
         return mLock.get(() -> mOpenCount);
     }
 
-    private Optional<TargetConnection> takeIdle(final EventLoop loop, final long maxIdleNanos) {
+    private Optional<TargetConnection> takeIdle(
+            final EventLoop loop, final long maxIdleNanos, final String identity) {
         final long now = System.nanoTime();
         final Iterator<TargetConnection> connections = mIdle.iterator();
         TargetConnection otherLoopConnection = null;
         while (connections.hasNext()) {
             final TargetConnection connection = connections.next();
-            if (connection.idleNanos(now) > maxIdleNanos || !connection.isOpen()) {
+            if (connection.idleNanos(now) > maxIdleNanos
+                    || !connection.isOpen()
+                    || connection.hasCarried(identity)) {
                 continue;
             }
             if (connection.eventLoop() == loop) {
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -83,9 +84,15 @@
 
     /** Sends a request with a body of the given length; a length of 0 means no body. */
     void send(final String method, final int bodyBytes) {
+        send(method, bodyBytes, "");
+    }
+
+    /** Sends a request with an identity; a length of 0 means no body. */
+    void send(final String method, final int bodyBytes, final String identity) {
         mPool.acquire(
                 mTransport.group().next(),
                 Long.MAX_VALUE,
+                identity,
                 connection -> {
                     final HttpRequest request =
                             new DefaultHttpRequest(
@@ -94,7 +101,7 @@
                     if (bodyBytes > 0) {
                         HttpUtil.setContentLength(request, bodyBytes);
                     }
-                    connection.send(request, bodyBytes == 0, new Recorder(connection));
+                    connection.send(request, identity, bodyBytes == 0, new Recorder(connection));
                     if (bodyBytes > 0) {
                         connection.sendBody(Unpooled.wrappedBuffer(new byte[bodyBytes]));
                         connection.endBody();
@@ -160,6 +167,18 @@
         return socket;
     }
 
+    /** Waits for a request on a connection in use; returns false if it has not come in time. */
+    static boolean awaitRequest(final Socket socket, final int timeoutMillis) throws IOException {
+        socket.setSoTimeout(timeoutMillis);
+        try {
+            final boolean hasCome = socket.getInputStream().read() >= 0;
+            readAvailable(socket);
+            return hasCome;
+        } catch (SocketTimeoutException e) {
+            return false;
+        }
+    }
+
     /** Reads what has arrived, so that closing the connection does not reset it. */
     static void readAvailable(final Socket socket) throws IOException {
         socket.getInputStream().skipNBytes(socket.getInputStream().available());
