Count a target's connections by their channels

Callers saw 503 for every request to a healthy target once about "slots + 2" of its kept connections had been closed with parts of a response unread (KNOWN-RED 12): the pool still counted them, reached its limit and opened no more until the target was replaced.

OneMessagePerReadHandler holds the end of a connection back while parts are unread. Netty fires that end and, in the same step, removes the handlers of the closed channel, so the handler is removed with the parts and the end inside, and TargetConnectionPool.onClosed never runs. A trace of both cases of ResponseEndTest.LeftUnread shows it: 'inactive, 40 queued' then 'removed, 40 queued, end pending' after an abort; 'inactive, 2 queued' then 'removed' after a second response, whose last parts the decoder makes only when the channel is closed. Ruled out: the reading in KNOWN-RED that close() drops the pending end. close() ran before the end in one case and not at all in the other, and dropped nothing.

Two designs: let the handler never lose the end (every other handler would still be able to), or count the channels themselves. The second: the pool holds the set of its connections; each is added before its channel exists and removed by the channel's closeFuture, which no handler sees, or when the connect fails. Removal from a set may run twice, so no path can count double. A connection that closes while it is returned no longer gets into the idle ones either.

What the handler does to a slow reader of such a response is a fault of its own.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -60,8 +60,13 @@
         mPool = pool;
     }
 
+    /**
+     * Sets the channel, which is new. The pool learns of its end from the channel itself: an event
+     * in its pipeline may be lost, because Netty removes the handlers of a closed channel.
+     */
     void attach(final Channel channel) {
         mChannel = channel;
+        channel.closeFuture().addListener(closed -> mPool.onClosed(this));
     }
 
     EndOfStreamHandler endOfStreamHandler() {
@@ -351,7 +356,6 @@
 
     @Override
     public void channelInactive(final ChannelHandlerContext ctx) {
-        mPool.onClosed(this);
         endAbort();
         fail(new ClosedChannelException());
     }
--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -12,15 +12,18 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
  * The pool of connections to one target. It never opens more connections than the target accepts
- * and keeps a minimum number of idle ones open.
+ * and keeps a minimum number of idle ones open. It counts the connections that it holds: each is
+ * added before its channel is created, and removed when the channel is closed or was not connected.
  */
 public final class TargetConnectionPool implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -31,8 +34,8 @@
     private final Transport mTransport;
     private final TargetPoolSettings mSettings;
     private final RankedLock mLock = RankedLock.of(LockRank.TARGET_POOL);
+    private final Set<TargetConnection> mConnections = new HashSet<>();
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
-    private int mOpenCount;
     private boolean mClosed;
 
     private TargetConnectionPool(final Transport transport, final TargetPoolSettings settings) {
@@ -107,7 +110,7 @@
      * @return a number that is at most what the target accepts
      */
     public int open() {
-        return mLock.get(() -> mOpenCount);
+        return mLock.get(mConnections::size);
     }
 
     private Optional<TargetConnection> takeIdle(
@@ -144,7 +147,7 @@
                                         ? 0
                                         : Math.min(
                                                 mSettings.minIdleConnections() - mIdle.size(),
-                                                mSettings.connectionLimit() - mOpenCount));
+                                                mSettings.connectionLimit() - mConnections.size()));
         if (missing > 0) {
             open(mTransport.group().next(), this::release, cause -> {});
         }
@@ -154,7 +157,8 @@
             final EventLoop loop,
             final Consumer<TargetConnection> onReady,
             final Consumer<Throwable> onFailed) {
-        final boolean reserved = mLock.get(this::reserve);
+        final TargetConnection connection = new TargetConnection(this);
+        final boolean reserved = mLock.get(() -> reserve(connection));
         if (!reserved) {
             onFailed.accept(
                     new BilberrylaneException(
@@ -162,7 +166,6 @@
                             "the target's connection pool is closed or at its limit"));
             return;
         }
-        final TargetConnection connection = new TargetConnection(this);
         mTransport
                 .clientBootstrap(loop)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -191,32 +194,31 @@
                             if (done.isSuccess()) {
                                 onReady.accept(connection);
                             } else {
-                                mLock.run(() -> mOpenCount--);
+                                onClosed(connection);
                                 onFailed.accept(done.cause());
                             }
                         });
     }
 
-    private boolean reserve() {
+    private boolean reserve(final TargetConnection connection) {
         if (mClosed) {
             return false;
         }
-        if (mOpenCount >= mSettings.connectionLimit()) {
+        if (mConnections.size() >= mSettings.connectionLimit()) {
             final TargetConnection oldest = mIdle.pollLast();
             if (oldest != null) {
                 runOn(oldest.eventLoop(), oldest::abort);
             }
             return false;
         }
-        mOpenCount++;
-        return true;
+        return mConnections.add(connection);
     }
 
     void release(final TargetConnection connection) {
         final boolean kept =
                 mLock.get(
                         () -> {
-                            if (mClosed) {
+                            if (mClosed || !mConnections.contains(connection)) {
                                 return false;
                             }
                             mIdle.addFirst(connection);
@@ -227,10 +229,11 @@
         }
     }
 
+    /** Removes a connection that is closed. May run more than once for one connection. */
     void onClosed(final TargetConnection connection) {
         mLock.run(
                 () -> {
-                    mOpenCount--;
+                    mConnections.remove(connection);
                     mIdle.remove(connection);
                 });
     }
--- a/src/test/java/io/bilberrylane/http/ResponseEndTest.java
+++ b/src/test/java/io/bilberrylane/http/ResponseEndTest.java
@@ -9,7 +9,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -170,13 +169,11 @@
         // Guards against: the pool counts a connection for ever that the target closed while parts
         // of a response were unread, until it opens no more and the target counts as unreachable.
         @Test
-        @Tag("known-red")
         void shouldGiveUpTheConnectionAfterAnotherResponse() throws Exception {
             assertGivenUpAfter(UNFRAMED + UNFRAMED);
         }
 
         @Test
-        @Tag("known-red")
         void shouldGiveUpTheConnectionOfAnAbortedExchange() throws Exception {
             mTarget.sendAndAbortAtFirstPart();
             try (Socket socket = mTarget.acceptRequest()) {
