Deliver the rest of a response after its target has closed

A caller that reads a response slowly, so that its credit is used up, got a part of it and then nothing until its deadline when the target closed the connection meanwhile; the slot stayed taken as long.

Epoll reports the other side's end, and reads all that has arrived, also when no read is requested, so it takes no more than a slow reader.

The end of stream is now an event behind the parts: the channel stays half open until the last part is read, and is closed then. Any other end of the channel (reset, failed write, our own close) drops the parts, which is a visible break, and the exchange learns of it by the channel's closeFuture like the pool, in a task of its own, so that it never ends within its own call to send. A connection whose end is seen is not used again.

--- a/src/main/java/io/bilberrylane/http/EndOfStreamHandler.java
+++ b/src/main/java/io/bilberrylane/http/EndOfStreamHandler.java
@@ -7,7 +7,8 @@
 /**
  * Distinguishes a connection that the other end closed regularly from one that was lost. Netty
  * closes the channel in both cases, and after a failed write without an exception. Needs {@code
- * ALLOW_HALF_CLOSURE}, with which a regular end is an event; closes the channel on it.
+ * ALLOW_HALF_CLOSURE}, with which a regular end is an event, and forwards it. Closes the channel on
+ * the event that follows a failed read.
  */
 final class EndOfStreamHandler extends ChannelInboundHandlerAdapter {
     private boolean mFailed;
@@ -16,7 +17,7 @@
     /**
      * Returns whether everything that the other end sent has arrived.
      *
-     * @return false while the connection is open, and if it was reset, timed out or was closed here
+     * @return false before that, and if the connection was reset, timed out or was closed here
      */
     boolean isEndOfStream() {
         return mEndOfStream;
@@ -25,11 +26,13 @@
     @Override
     public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            mEndOfStream = !mFailed;
-            ctx.close();
-        } else {
-            ctx.fireUserEventTriggered(event);
+            if (mFailed) {
+                ctx.close();
+                return;
+            }
+            mEndOfStream = true;
         }
+        ctx.fireUserEventTriggered(event);
     }
 
     /** A failed read shuts the input down, too, but later. */
--- a/src/main/java/io/bilberrylane/http/OneMessagePerReadHandler.java
+++ b/src/main/java/io/bilberrylane/http/OneMessagePerReadHandler.java
@@ -3,19 +3,22 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 /**
- * Forwards one message for each requested read, and the end of the connection only after the last
- * message, so that a response is delivered completely even if its reader is slow.
+ * Forwards one message for each requested read. Closes the channel when the other end has closed
+ * its side, but only after the last message, so that a response is delivered completely even if its
+ * reader is slow. Needs {@code ALLOW_HALF_CLOSURE}. Nothing is delivered once the channel is
+ * closed: Netty then removes the handlers.
  */
 final class OneMessagePerReadHandler extends ChannelDuplexHandler {
     private final Deque<Object> mQueue = new ArrayDeque<>();
     private boolean mReadRequested;
     private boolean mForwarding;
-    private boolean mInactivePending;
+    private boolean mEndPending;
 
     @Override
     public void read(final ChannelHandlerContext ctx) {
@@ -38,9 +41,13 @@
     }
 
     @Override
-    public void channelInactive(final ChannelHandlerContext ctx) {
-        mInactivePending = true;
-        forward(ctx);
+    public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            mEndPending = true;
+            forward(ctx);
+        } else {
+            ctx.fireUserEventTriggered(event);
+        }
     }
 
     @Override
@@ -70,9 +77,8 @@
         }
         mForwarding = false;
         if (mQueue.isEmpty()) {
-            if (mInactivePending) {
-                mInactivePending = false;
-                ctx.fireChannelInactive();
+            if (mEndPending) {
+                ctx.close();
             } else if (mReadRequested) {
                 ctx.read();
             }
--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -61,12 +61,18 @@
     }
 
     /**
-     * Sets the channel, which is new. The pool learns of its end from the channel itself: an event
-     * in its pipeline may be lost, because Netty removes the handlers of a closed channel.
+     * Sets the channel, which is new. The pool and the exchange learn of its end from the channel
+     * itself: an event in its pipeline may be lost, because Netty removes the handlers of a closed
+     * channel. The exchange ends a little later, never within its own call.
      */
     void attach(final Channel channel) {
         mChannel = channel;
-        channel.closeFuture().addListener(closed -> mPool.onClosed(this));
+        channel.closeFuture()
+                .addListener(
+                        closed -> {
+                            mPool.onClosed(this);
+                            channel.eventLoop().execute(this::onClosed);
+                        });
     }
 
     EndOfStreamHandler endOfStreamHandler() {
@@ -336,7 +342,10 @@
         }
         mListener = null;
         mIdleSinceNanos = System.nanoTime();
-        if (mReusable && mRequestSent && ctx.channel().isActive()) {
+        if (mReusable
+                && mRequestSent
+                && ctx.channel().isActive()
+                && !mEndOfStreamHandler.isEndOfStream()) {
             ctx.read();
             mPool.release(this);
         } else {
@@ -354,10 +363,12 @@
         }
     }
 
-    @Override
-    public void channelInactive(final ChannelHandlerContext ctx) {
+    private void onClosed() {
         endAbort();
-        fail(new ClosedChannelException());
+        fail(
+                mEndsWithConnection
+                        ? new IOException("connection lost during a response without a length")
+                        : new ClosedChannelException());
     }
 
     @Override
--- a/src/test/java/io/bilberrylane/http/ResponseEndTest.java
+++ b/src/test/java/io/bilberrylane/http/ResponseEndTest.java
@@ -148,6 +148,70 @@
         }
     }
 
+    // Guards against: the rest of a response is dropped, and its exchange never ends, because the
+    // target closed the connection while the reader had not read all of it.
+    @Nested
+    final class SlowReader {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\n";
+        private static final String CHUNKED_HEAD = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+        private static final int PARTS = 40;
+        private static final int DELAY_MILLIS = 5;
+        private static final int ENDLESS_DELAY_MILLIS = 60_000;
+
+        private void assertComplete(final String response, final int bodyBytes) throws Exception {
+            mTarget.sendAndReadSlowly("GET", 0, DELAY_MILLIS);
+            try (Socket socket = mTarget.acceptRequest()) {
+                ScriptedTarget.readAvailable(socket);
+                ScriptedTarget.write(socket, response);
+            }
+            assertThat(mTarget.nextEvent()).isEqualTo("head 200");
+            int received = 0;
+            String event = mTarget.nextEvent();
+            while (event != null && !event.equals(ScriptedTarget.COMPLETE)) {
+                assertThat(event).isNotEqualTo(ScriptedTarget.BROKEN);
+                received += event.length();
+                event = mTarget.nextEvent();
+            }
+            assertThat(event).isEqualTo(ScriptedTarget.COMPLETE);
+            assertThat(received).isEqualTo(bodyBytes);
+            assertThat(mTarget.remainingConnections()).isZero();
+        }
+
+        @Test
+        void shouldGetAllChunksWhenTheTargetCloses() throws Exception {
+            assertComplete(CHUNKED_HEAD + "1\r\na\r\n".repeat(PARTS) + "0\r\n\r\n", PARTS);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "Content-Length: 200000\r\n"})
+        void shouldGetTheWholeBodyWhenTheTargetCloses(final String framing) throws Exception {
+            assertComplete(HEAD + framing + "\r\n" + "a".repeat(200_000), 200_000);
+        }
+
+        @Test
+        void shouldNotCompleteWhenTheTargetClosesInTheBody() throws Exception {
+            mTarget.sendAndReadSlowly("GET", 0, DELAY_MILLIS);
+            try (Socket socket = mTarget.acceptRequest()) {
+                ScriptedTarget.readAvailable(socket);
+                ScriptedTarget.write(socket, CHUNKED_HEAD + "1\r\na\r\n".repeat(PARTS));
+            }
+            assertThat(mTarget.end()).isEqualTo(ScriptedTarget.BROKEN);
+            assertThat(mTarget.remainingConnections()).isZero();
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {0, UNWRITTEN_BODY_BYTES})
+        void shouldLearnOfAResetBeforeTheReaderGoesOn(final int bodyBytes) throws Exception {
+            mTarget.sendAndReadSlowly("POST", bodyBytes, ENDLESS_DELAY_MILLIS);
+            try (Socket socket = mTarget.acceptRequest()) {
+                ScriptedTarget.write(socket, CHUNKED_HEAD + "1\r\na\r\n".repeat(PARTS));
+                ScriptedTarget.reset(socket);
+            }
+            assertThat(mTarget.end()).isEqualTo(ScriptedTarget.BROKEN);
+            assertThat(mTarget.remainingConnections()).isZero();
+        }
+    }
+
     @Nested
     final class LeftUnread {
         private void assertGivenUpAfter(final String rest) throws Exception {
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * A target whose side of each connection is written by the test, with a pool of connections to it
@@ -89,6 +90,35 @@
 
     /** Sends a request with an identity; a length of 0 means no body. */
     void send(final String method, final int bodyBytes, final String identity) {
+        send(method, bodyBytes, identity, Recorder::new);
+    }
+
+    /** Sends a request and requests each part of the response a little after the one before. */
+    void sendAndReadSlowly(final String method, final int bodyBytes, final long delayMillis) {
+        send(
+                method,
+                bodyBytes,
+                "",
+                connection ->
+                        new Recorder(connection) {
+                            @Override
+                            public void onContent(final ByteBuf bytes) {
+                                record(bytes);
+                                connection
+                                        .eventLoop()
+                                        .schedule(
+                                                connection::read,
+                                                delayMillis,
+                                                TimeUnit.MILLISECONDS);
+                            }
+                        });
+    }
+
+    private void send(
+            final String method,
+            final int bodyBytes,
+            final String identity,
+            final Function<TargetConnection, TargetResponseListener> listener) {
         mPool.acquire(
                 mTransport.group().next(),
                 Long.MAX_VALUE,
@@ -101,7 +131,7 @@
                     if (bodyBytes > 0) {
                         HttpUtil.setContentLength(request, bodyBytes);
                     }
-                    connection.send(request, identity, bodyBytes == 0, new Recorder(connection));
+                    connection.send(request, identity, bodyBytes == 0, listener.apply(connection));
                     if (bodyBytes > 0) {
                         connection.sendBody(Unpooled.wrappedBuffer(new byte[bodyBytes]));
                         connection.endBody();
@@ -244,9 +274,13 @@
 
         @Override
         public void onContent(final ByteBuf bytes) {
+            record(bytes);
+            mConnection.read();
+        }
+
+        protected final void record(final ByteBuf bytes) {
             mEvents.add(bytes.toString(StandardCharsets.ISO_8859_1));
             bytes.release();
-            mConnection.read();
         }
 
         @Override
