Replace an idle connection at the limit instead of refusing the call

At its limit of connections the pool closed an idle connection that did not fit the call and refused the call all the same (503 for a target with room). A call that met the limit while a connection was just being opened, returned unused or closed was refused likewise, for example while a check of reachability held the last place.

A request at the limit now closes the longest idle connection and takes its place when its channel is closed, so that the target never sees more connections than it accepts. If a connection is being opened, returned or closed, it waits for that, 50 ms at most. It is refused at once if all serve exchanges, so that the ingress can offer the call elsewhere (waiting in that case was tried: calls whose time ran out meanwhile got 504 instead of the truer 503). The refusal is a ConnectionLimitException, which unlike a failed connect tells nothing about the target; a decision line connection-limit with the numbers of the pool is written once a second at most.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -41,7 +41,7 @@
     private final EndOfStreamHandler mEndOfStreamHandler = new EndOfStreamHandler();
     private final TargetResponseDecoder mDecoder = new TargetResponseDecoder(this);
     private final OneMessagePerReadHandler mMessages = new OneMessagePerReadHandler();
-    private Channel mChannel;
+    private volatile Channel mChannel;
     private TargetResponseListener mListener;
     private Runnable mAbortListener;
     private boolean mSkippingInformational;
@@ -91,10 +91,11 @@
     /**
      * Returns whether the connection is open.
      *
-     * @return false once either end has closed it
+     * @return false until it is connected, and once either end has closed it
      */
     public boolean isOpen() {
-        return mChannel.isActive();
+        final Channel channel = mChannel;
+        return channel != null && channel.isActive();
     }
 
     /** Returns whether the target may send something: an exchange, or its abort, is in progress. */
--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -1,7 +1,6 @@
 package io.bilberrylane.http;
 
-import io.bilberrylane.base.BilberrylaneException;
-import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.LockRank;
 import io.bilberrylane.base.RankedLock;
 import io.bilberrylane.net.Transport;
@@ -10,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -17,6 +17,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -27,12 +28,21 @@
 public final class TargetConnectionPool implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+    /** Long enough for one connection to be closed, or to be opened and returned unused. */
+    static final long MAX_WAIT_MILLIS = 50;
+
+    /** One line a second at most tells that requests are refused. */
+    private static final long LINE_INTERVAL_NANOS = 1_000_000_000L;
+
     private final Transport mTransport;
     private final TargetPoolSettings mSettings;
     private final RankedLock mLock = RankedLock.of(LockRank.TARGET_POOL);
     private final Set<TargetConnection> mConnections = new HashSet<>();
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
+    private final Deque<ConnectionRequest> mWaiting = new ArrayDeque<>();
     private boolean mClosed;
+    private long mRefusedCount;
+    private long mLastLineNanos;
 
     private TargetConnectionPool(final Transport transport, final TargetPoolSettings settings) {
         mTransport = transport;
@@ -75,7 +85,10 @@
     }
 
     /**
-     * Acquires a connection that has not carried a request with the same identity.
+     * Acquires a connection that has not carried a request with the same identity. At the limit, an
+     * idle connection that does not fit is closed and a new one opened in its place. A request
+     * waits {@value #MAX_WAIT_MILLIS} ms at most for that, or for one that is being opened or
+     * closed; it fails with a {@link ConnectionLimitException} if all serve exchanges.
      *
      * @param loop the preferred event loop of the connection; a new one is registered with it
      * @param maxIdleNanos the longest idle time of a connection that is reused, in nanoseconds
@@ -89,15 +102,9 @@
             final String identity,
             final Consumer<TargetConnection> onReady,
             final Consumer<Throwable> onFailed) {
-        final Optional<TargetConnection> idle =
-                mLock.get(() -> takeIdle(loop, maxIdleNanos, identity));
-        if (idle.isPresent()) {
-            final TargetConnection connection = idle.get();
-            runOn(connection.eventLoop(), () -> onReady.accept(connection));
-            ensureMinIdle();
-            return;
-        }
-        open(loop, onReady, onFailed);
+        final ConnectionRequest request =
+                new ConnectionRequest(loop, maxIdleNanos, identity, onReady, onFailed);
+        mLock.get(() -> admit(request)).run();
     }
 
     /**
@@ -109,19 +116,79 @@
         return mLock.get(mConnections::size);
     }
 
-    private Optional<TargetConnection> takeIdle(
-            final EventLoop loop, final long maxIdleNanos, final String identity) {
+    /**
+     * Returns the numbers of the pool.
+     *
+     * @return the numbers at one moment
+     */
+    public TargetPoolState state() {
+        return mLock.get(
+                () ->
+                        new TargetPoolState(
+                                mSettings.connectionLimit(),
+                                mConnections.size(),
+                                (int)
+                                        mConnections.stream()
+                                                .filter(TargetConnection::isOpen)
+                                                .count(),
+                                mIdle.size(),
+                                mWaiting.size(),
+                                mRefusedCount));
+    }
+
+    /** Returns the next step for a request, which is taken without the lock. */
+    private Runnable admit(final ConnectionRequest request) {
+        final Optional<TargetConnection> idle = takeIdle(request);
+        if (idle.isPresent()) {
+            return () -> {
+                runOn(idle.get().eventLoop(), () -> request.onReady().accept(idle.get()));
+                ensureMinIdle();
+            };
+        }
+        if (mClosed) {
+            return () -> refuseClosed(request);
+        }
+        if (mConnections.size() < mSettings.connectionLimit()) {
+            return connectStep(request);
+        }
+        final TargetConnection replaced = mIdle.pollLast();
+        if (replaced == null && isNoneFreeSoon()) {
+            return () -> refuse(request);
+        }
+        mWaiting.addLast(request);
+        return () -> {
+            if (replaced != null) {
+                closeOnLoop(replaced);
+            }
+            request.loop()
+                    .schedule(
+                            () -> onWaitedTooLong(request), MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        };
+    }
+
+    /** Returns whether no more connections are being opened, returned or closed than awaited. */
+    private boolean isNoneFreeSoon() {
+        final long free = mConnections.stream().filter(other -> !other.isInService()).count();
+        return free - mIdle.size() <= mWaiting.size();
+    }
+
+    /** Takes a place for a new connection and returns the step that opens it. */
+    private Runnable connectStep(final ConnectionRequest request) {
+        final TargetConnection connection = new TargetConnection(this);
+        mConnections.add(connection);
+        return () -> connect(connection, request);
+    }
+
+    private Optional<TargetConnection> takeIdle(final ConnectionRequest request) {
         final long now = System.nanoTime();
         final Iterator<TargetConnection> connections = mIdle.iterator();
         TargetConnection otherLoopConnection = null;
         while (connections.hasNext()) {
             final TargetConnection connection = connections.next();
-            if (connection.idleNanos(now) > maxIdleNanos
-                    || !connection.isOpen()
-                    || connection.hasCarried(identity)) {
+            if (!request.isServedBy(connection, now)) {
                 continue;
             }
-            if (connection.eventLoop() == loop) {
+            if (connection.eventLoop() == request.loop()) {
                 connections.remove();
                 return Optional.of(connection);
             }
@@ -133,37 +200,68 @@
         return Optional.ofNullable(otherLoopConnection);
     }
 
+    private void onWaitedTooLong(final ConnectionRequest request) {
+        final boolean wasWaiting = mLock.get(() -> mWaiting.remove(request));
+        if (wasWaiting) {
+            refuse(request);
+        }
+    }
+
+    private static void refuseClosed(final ConnectionRequest request) {
+        request.onFailed().accept(new ConnectionLimitException("the target's pool is closed"));
+    }
+
+    private void refuse(final ConnectionRequest request) {
+        if (countRefusal()) {
+            final TargetPoolState state = state();
+            DecisionLog.event("connection-limit")
+                    .with("target", mSettings.address())
+                    .with("limit", state.limit())
+                    .with("counted", state.counted())
+                    .with("open", state.open())
+                    .with("idle", state.idle())
+                    .with("waiting", state.waiting())
+                    .with("refused", state.refused())
+                    .write();
+        }
+        request.onFailed()
+                .accept(new ConnectionLimitException("the target's pool is at its limit"));
+    }
+
+    /** Counts a refusal; returns whether it is time for a line in the log. */
+    private boolean countRefusal() {
+        return mLock.get(
+                () -> {
+                    final long now = System.nanoTime();
+                    final boolean isFirst = mRefusedCount == 0;
+                    mRefusedCount++;
+                    if (!isFirst && now - mLastLineNanos < LINE_INTERVAL_NANOS) {
+                        return false;
+                    }
+                    mLastLineNanos = now;
+                    return true;
+                });
+    }
+
     // -- connections
 
     private void ensureMinIdle() {
-        final int missing =
+        final ConnectionRequest spare =
+                new ConnectionRequest(mTransport.group().next(), 0, "", this::release, cause -> {});
+        final Optional<Runnable> step =
                 mLock.get(
                         () ->
-                                mClosed
-                                        ? 0
-                                        : Math.min(
-                                                mSettings.minIdleConnections() - mIdle.size(),
-                                                mSettings.connectionLimit() - mConnections.size()));
-        if (missing > 0) {
-            open(mTransport.group().next(), this::release, cause -> {});
-        }
+                                !mClosed
+                                                && mIdle.size() < mSettings.minIdleConnections()
+                                                && mConnections.size() < mSettings.connectionLimit()
+                                        ? Optional.of(connectStep(spare))
+                                        : Optional.empty());
+        step.ifPresent(Runnable::run);
     }
 
-    private void open(
-            final EventLoop loop,
-            final Consumer<TargetConnection> onReady,
-            final Consumer<Throwable> onFailed) {
-        final TargetConnection connection = new TargetConnection(this);
-        final boolean reserved = mLock.get(() -> reserve(connection));
-        if (!reserved) {
-            onFailed.accept(
-                    new BilberrylaneException(
-                            ErrorCode.TARGET_UNREACHABLE,
-                            "the target's connection pool is closed or at its limit"));
-            return;
-        }
+    private void connect(final TargetConnection connection, final ConnectionRequest request) {
         mTransport
-                .clientBootstrap(loop)
+                .clientBootstrap(request.loop())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -179,50 +277,54 @@
                 .addListener(
                         done -> {
                             if (done.isSuccess()) {
-                                onReady.accept(connection);
+                                request.onReady().accept(connection);
                             } else {
                                 onClosed(connection);
-                                onFailed.accept(done.cause());
+                                request.onFailed().accept(done.cause());
                             }
                         });
     }
 
-    private boolean reserve(final TargetConnection connection) {
-        if (mClosed) {
-            return false;
-        }
-        if (mConnections.size() >= mSettings.connectionLimit()) {
-            final TargetConnection oldest = mIdle.pollLast();
-            if (oldest != null) {
-                runOn(oldest.eventLoop(), oldest::abort);
-            }
-            return false;
-        }
-        return mConnections.add(connection);
+    /** Returns a connection that has no exchange any more. */
+    void release(final TargetConnection connection) {
+        mLock.get(() -> keepOrPass(connection)).run();
     }
 
-    void release(final TargetConnection connection) {
-        final boolean kept =
-                mLock.get(
-                        () -> {
-                            if (mClosed || !mConnections.contains(connection)) {
-                                return false;
-                            }
-                            mIdle.addFirst(connection);
-                            return true;
-                        });
-        if (!kept) {
-            connection.abort();
+    /** Keeps a connection idle, passes it to a request that waits, or closes it for another. */
+    private Runnable keepOrPass(final TargetConnection connection) {
+        if (mClosed || !mConnections.contains(connection)) {
+            return () -> closeOnLoop(connection);
         }
+        if (mWaiting.isEmpty()) {
+            mIdle.addFirst(connection);
+            return () -> {};
+        }
+        final long now = System.nanoTime();
+        for (final ConnectionRequest waiting : mWaiting) {
+            if (waiting.isServedBy(connection, now)) {
+                mWaiting.remove(waiting);
+                return () ->
+                        runOn(connection.eventLoop(), () -> waiting.onReady().accept(connection));
+            }
+        }
+        return () -> closeOnLoop(connection);
     }
 
     /** Removes a connection that is closed. May run more than once for one connection. */
     void onClosed(final TargetConnection connection) {
-        mLock.run(
-                () -> {
-                    mConnections.remove(connection);
-                    mIdle.remove(connection);
-                });
+        mLock.get(() -> removeClosed(connection)).run();
+    }
+
+    /** Removes a connection; a request that waits takes its place. */
+    private Runnable removeClosed(final TargetConnection connection) {
+        mIdle.remove(connection);
+        return mConnections.remove(connection) && !mWaiting.isEmpty()
+                ? connectStep(mWaiting.removeFirst())
+                : () -> {};
+    }
+
+    private static void closeOnLoop(final TargetConnection connection) {
+        runOn(connection.eventLoop(), connection::abort);
     }
 
     private static void runOn(final EventLoop loop, final Runnable action) {
@@ -235,14 +337,17 @@
 
     @Override
     public void close() {
-        final List<TargetConnection> idle =
-                mLock.get(
-                        () -> {
-                            mClosed = true;
-                            final List<TargetConnection> all = List.copyOf(mIdle);
-                            mIdle.clear();
-                            return all;
-                        });
-        idle.forEach(connection -> runOn(connection.eventLoop(), connection::abort));
+        final List<TargetConnection> idle = new ArrayList<>();
+        final List<ConnectionRequest> waiting = new ArrayList<>();
+        mLock.run(
+                () -> {
+                    mClosed = true;
+                    idle.addAll(mIdle);
+                    mIdle.clear();
+                    waiting.addAll(mWaiting);
+                    mWaiting.clear();
+                });
+        waiting.forEach(TargetConnectionPool::refuseClosed);
+        idle.forEach(TargetConnectionPool::closeOnLoop);
     }
 }
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -39,8 +40,10 @@
 
     static final String BROKEN = "broken";
 
-    private static final String UNREACHABLE = "unreachable";
-    private static final Set<String> ENDS = Set.of(COMPLETE, BROKEN, ABORTED, UNREACHABLE);
+    static final String UNREACHABLE = "unreachable";
+    static final String AT_LIMIT = "at-limit";
+    private static final Set<String> ENDS =
+            Set.of(COMPLETE, BROKEN, ABORTED, UNREACHABLE, AT_LIMIT);
     private static final int ACCEPT_TIMEOUT_MILLIS = 5_000;
     private static final long ABORT_DELAY_MILLIS = 30;
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
@@ -137,7 +140,7 @@
                         connection.endBody();
                     }
                 },
-                cause -> mEvents.add(UNREACHABLE));
+                this::recordRefusal);
     }
 
     /**
@@ -166,7 +169,7 @@
                                                         TimeUnit.MILLISECONDS);
                                     }
                                 }),
-                cause -> mEvents.add(UNREACHABLE));
+                this::recordRefusal);
     }
 
     /** Sends a request without a body and aborts it at once. */
@@ -181,7 +184,30 @@
                             new Recorder(connection));
                     connection.abort(() -> mEvents.add(ABORTED));
                 },
-                cause -> mEvents.add(UNREACHABLE));
+                this::recordRefusal);
+    }
+
+    /** Acquires a connection for an exchange that is not started. */
+    TargetConnection acquire() throws Exception {
+        final CompletableFuture<TargetConnection> acquired = new CompletableFuture<>();
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                acquired::complete,
+                acquired::completeExceptionally);
+        return acquired.get(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void recordRefusal(final Throwable cause) {
+        mEvents.add(cause instanceof ConnectionLimitException ? AT_LIMIT : UNREACHABLE);
+    }
+
+    void closePool() {
+        mPool.close();
+    }
+
+    void stopListening() throws IOException {
+        mServer.close();
     }
 
     Socket accept() throws IOException {
--- a/src/test/java/io/bilberrylane/http/TargetConnectionPoolTest.java
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionPoolTest.java
@@ -4,6 +4,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -87,4 +90,172 @@
             }
         }
     }
+
+    /** The pool of the scripted target opens four connections at most. */
+    @Nested
+    final class AtTheLimit {
+        private static final int LIMIT = 4;
+        private static final int SOON_MILLIS = 10;
+        private static final int REFUSALS = 20;
+
+        private final List<Socket> mSockets = new ArrayList<>();
+
+        @AfterEach
+        void closeSockets() throws IOException {
+            for (final Socket socket : mSockets) {
+                socket.close();
+            }
+        }
+
+        private void sendOnNewConnections(final int count) throws IOException {
+            for (int i = 0; i < count; i++) {
+                mTarget.send("GET", 0, "id-1");
+            }
+            for (int i = 0; i < count; i++) {
+                mSockets.add(mTarget.acceptRequest());
+            }
+        }
+
+        // Guards against: a call is refused although an idle connection could have been replaced.
+        @Test
+        void shouldReplaceAnIdleConnectionThatHasCarriedTheIdentity() throws Exception {
+            sendOnNewConnections(LIMIT);
+            for (final Socket socket : mSockets) {
+                respond(socket);
+            }
+            mTarget.send("GET", 0, "id-1");
+            try (Socket socket = mTarget.acceptRequest()) {
+                respond(socket);
+                assertThat(mTarget.openConnections()).isEqualTo(LIMIT);
+            }
+        }
+
+        @Test
+        void shouldReplaceOneIdleConnectionForEachRequest() throws Exception {
+            sendOnNewConnections(LIMIT);
+            for (final Socket socket : mSockets) {
+                respond(socket);
+            }
+            sendOnNewConnections(LIMIT);
+            for (final Socket socket : mSockets.subList(LIMIT, 2 * LIMIT)) {
+                respond(socket);
+            }
+            assertThat(mTarget.openConnections()).isEqualTo(LIMIT);
+        }
+
+        private List<TargetConnection> holdEveryConnection() throws Exception {
+            final List<TargetConnection> held = new ArrayList<>();
+            for (int i = 0; i < LIMIT; i++) {
+                held.add(mTarget.acquire());
+            }
+            return held;
+        }
+
+        // Guards against: a call is refused while a check of reachability holds the last place.
+        @Test
+        void shouldWaitForAConnectionThatIsReturnedUnused() throws Exception {
+            final List<TargetConnection> held = holdEveryConnection();
+            mTarget.send("GET", 0, "id-1");
+            TimeUnit.MILLISECONDS.sleep(SOON_MILLIS);
+            held.get(0).release();
+            for (int i = 0; i < LIMIT; i++) {
+                mSockets.add(mTarget.accept());
+            }
+            final Socket first = mSockets.get(0);
+            assertThat(ScriptedTarget.awaitRequest(first, REQUEST_TIMEOUT_MILLIS)).isTrue();
+            respond(first);
+        }
+
+        @Test
+        void shouldReplaceAReturnedConnectionThatDoesNotFit() throws Exception {
+            sendOnNewConnections(LIMIT);
+            for (final Socket socket : mSockets) {
+                respond(socket);
+            }
+            final List<TargetConnection> held = holdEveryConnection();
+            mTarget.send("GET", 0, "id-1");
+            TimeUnit.MILLISECONDS.sleep(SOON_MILLIS);
+            held.get(0).release();
+            try (Socket socket = mTarget.acceptRequest()) {
+                respond(socket);
+            }
+        }
+
+        @Test
+        void shouldTakeThePlaceOfAConnectionThatBreaks() throws Exception {
+            holdEveryConnection();
+            mTarget.send("GET", 0, "id-1");
+            TimeUnit.MILLISECONDS.sleep(SOON_MILLIS);
+            for (int i = 0; i < LIMIT; i++) {
+                mSockets.add(mTarget.accept());
+            }
+            mSockets.get(0).close();
+            try (Socket socket = mTarget.acceptRequest()) {
+                respond(socket);
+            }
+        }
+
+        @Test
+        void shouldRefuseWhenNoneIsReturnedSoon() throws Exception {
+            holdEveryConnection();
+            mTarget.send("GET", 0, "id-1");
+            assertThat(mTarget.end()).isEqualTo(ScriptedTarget.AT_LIMIT);
+        }
+
+        @Test
+        void shouldRefuseAtOnceWhenEveryConnectionServesAnExchange() throws Exception {
+            sendOnNewConnections(LIMIT);
+            final long startNanos = System.nanoTime();
+            for (int i = 0; i < REFUSALS; i++) {
+                mTarget.send("GET", 0, "id-2");
+                assertThat(mTarget.end()).isEqualTo(ScriptedTarget.AT_LIMIT);
+            }
+            assertThat(System.nanoTime() - startNanos)
+                    .isLessThan(
+                            TimeUnit.MILLISECONDS.toNanos(
+                                    REFUSALS * TargetConnectionPool.MAX_WAIT_MILLIS));
+            assertThat(mTarget.openConnections()).isEqualTo(LIMIT);
+        }
+
+        @Test
+        void shouldRefuseARequestThatWaitsWhenThePoolIsClosed() throws Exception {
+            final List<TargetConnection> held = holdEveryConnection();
+            mTarget.send("GET", 0, "id-1");
+            mTarget.closePool();
+            assertThat(mTarget.end()).isEqualTo(ScriptedTarget.AT_LIMIT);
+            held.forEach(TargetConnection::release);
+            assertThat(mTarget.remainingConnections()).isZero();
+        }
+    }
+
+    @Nested
+    final class Closed {
+        @Test
+        void shouldCloseAConnectionThatWasBeingOpened() throws Exception {
+            mTarget.send("GET", 0);
+            mTarget.closePool();
+            try (Socket socket = mTarget.acceptRequest()) {
+                respond(socket);
+                assertThat(mTarget.remainingConnections()).isZero();
+            }
+        }
+
+        @Test
+        void shouldRefuse() throws Exception {
+            mTarget.closePool();
+            mTarget.send("GET", 0);
+            assertThat(mTarget.end()).isEqualTo(ScriptedTarget.AT_LIMIT);
+            assertThat(mTarget.openConnections()).isZero();
+        }
+    }
+
+    @Test
+    void shouldCountNoConnectionThatCouldNotBeOpened() throws Exception {
+        mTarget.stopListening();
+        for (int i = 0; i < 20; i++) {
+            mTarget.send("GET", 0);
+            assertThat(mTarget.end()).isEqualTo(ScriptedTarget.UNREACHABLE);
+        }
+        assertThat(mTarget.remainingConnections()).isZero();
+    }
 }
