Blame no call for a crash when no connection is free

When the pool was at its limit, the gate took the refusal for a target that accepts no connection: it marked the target's cold state as unknown, and every call whose connection had broken within three seconds counted as one that had crashed the target; after three it is refused for 20 s. The target was healthy.

A ConnectionLimitException no longer counts as a target that is gone, neither for a call nor for the check of reachability.

PlatformNode announces its target only when it has the configuration, because the limit of connections is taken from it at that moment; a real node that is announced to earlier uses slots + 2, which is at most what the service allows on the users' sites (suspected, not measured).

--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -8,11 +8,13 @@
 import io.bilberrylane.catalogue.Limits;
 import io.bilberrylane.catalogue.ServiceEntry;
 import io.bilberrylane.catalogue.TargetParameters;
+import io.bilberrylane.http.ConnectionLimitException;
 import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.LoadHeader;
 import io.bilberrylane.http.TargetConnection;
 import io.bilberrylane.http.TargetConnectionPool;
 import io.bilberrylane.http.TargetPoolSettings;
+import io.bilberrylane.http.TargetPoolState;
 import io.bilberrylane.membership.Departure;
 import io.bilberrylane.membership.TargetAnnouncement;
 import io.bilberrylane.membership.TargetHistory;
@@ -374,6 +376,16 @@
                 : mAdmissionLock.get(() -> target.admission().load(route));
     }
 
+    /**
+     * Returns the numbers of the pool of connections to the target.
+     *
+     * @return the numbers; {@link TargetPoolState#NONE} if there is no target
+     */
+    TargetPoolState connections() {
+        final GateTarget target = mTarget;
+        return target == null ? TargetPoolState.NONE : target.pool().state();
+    }
+
     // -- calls
 
     @Override
@@ -439,7 +451,14 @@
                         mTransport.currentOrAnyLoop(),
                         0,
                         TargetConnection::release,
-                        cause -> onTargetGone(target));
+                        cause -> onConnectFailed(target, cause));
+    }
+
+    /** A failure for want of a free connection tells nothing about the target. */
+    void onConnectFailed(final GateTarget target, final Throwable cause) {
+        if (!(cause instanceof ConnectionLimitException)) {
+            onTargetGone(target);
+        }
     }
 
     /**
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -257,7 +257,7 @@
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("target unreachable: %s", cause);
         releaseSlot(false, 0);
         refuseNow(ErrorCode.TARGET_UNREACHABLE);
-        mGate.onTargetGone(mTarget);
+        mGate.onConnectFailed(mTarget, cause);
     }
 
     /**
--- a/src/test/java/io/bilberrylane/node/PlatformNode.java
+++ b/src/test/java/io/bilberrylane/node/PlatformNode.java
@@ -30,7 +30,7 @@
     /** Routes /safe/ and /unsafe/ to the service, without health checks. */
     private static final String CONFIGURATION =
             """
-            {"version":7,"services":[{"name":"desk","maxConnections":220}],
+            {"version":7,"services":[{"name":"desk","maxConnections":%d}],
              "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
                        "headerTimeoutS":3,"idleTimeoutS":15},
              "virtualHosts":[{"host":"desk.example","paths":[
@@ -46,18 +46,24 @@
     private final String mTargetAddress;
     private final Node mNode;
 
-    private PlatformNode(final PlatformTarget target) throws IOException {
+    private static final int MAX_CONNECTIONS = 220;
+
+    private PlatformNode(final PlatformTarget target, final int maxConnections) throws IOException {
         final PlatformStandIn platform =
                 mCloser.add(
                         PlatformStandIn.start(mTransport, Fleet.loopback(), PlatformFaults.NONE));
         mPlatform = URI.create("http://127.0.0.1:" + platform.address().getPort());
         PlatformClient.of(mTransport, mPlatform, 2_000)
-                .create("config", "main", new ObjectMapper().readTree(CONFIGURATION))
+                .create(
+                        "config",
+                        "main",
+                        new ObjectMapper().readTree(CONFIGURATION.formatted(maxConnections)))
                 .join();
         mNode = startNode("node-1");
         mTargetAddress = target.address();
+        Fleet.await(() -> mNode.revision() > 0);
         beat(mTargetAddress, "ready", 1);
-        Fleet.await(() -> mNode.revision() > 0 && mNode.targetCount(SERVICE) == 1);
+        Fleet.await(() -> mNode.targetCount(SERVICE) == 1);
     }
 
     /** Starts another node, which has no target. */
@@ -91,7 +97,13 @@
     }
 
     static PlatformNode beside(final PlatformTarget target) throws IOException {
-        return new PlatformNode(target);
+        return beside(target, MAX_CONNECTIONS);
+    }
+
+    /** Starts a node whose target accepts so many connections. */
+    static PlatformNode beside(final PlatformTarget target, final int maxConnections)
+            throws IOException {
+        return new PlatformNode(target, maxConnections);
     }
 
     /** Sends a heartbeat of the target with a state and a sequence number from 2. */
