Show counted beside open connections to the target

A pool that counts connections which are not there refused every call, and nothing told so but a log line of a refused connect. Four gauges: the limit of connections to the target, those that the pool counts, those of them whose channel is connected, and the requests for one that were refused at the limit.

ConnectionLimitTest.shouldBeVisible: red without the gauges, green with them; it also guards that the refusals of half a second write one line.

--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -231,6 +231,23 @@
                 "bilberrylane.gate.allowance",
                 "Requests that may be in service at the target",
                 () -> mGate.load().allowance());
+        mMetrics.gauge(
+                "bilberrylane.target.connections.limit",
+                "Connections to the target that the node opens at most",
+                () -> mGate.connections().limit());
+        mMetrics.gauge(
+                "bilberrylane.target.connections.counted",
+                "Connections to the target that the pool counts",
+                () -> mGate.connections().counted());
+        mMetrics.gauge(
+                "bilberrylane.target.connections.open",
+                "Connections to the target that are really open",
+                () -> mGate.connections().open());
+        mMetrics.gauge(
+                "bilberrylane.target.connections.refused",
+                "Requests for a connection that were refused at the limit since the target's"
+                        + " announcement",
+                () -> mGate.connections().refused());
         mMetrics.gauge(
                 "bilberrylane.gate.keys",
                 "Idempotency keys remembered at the gate",
--- a/src/test/java/io/bilberrylane/node/ConnectionLimitTest.java
+++ b/src/test/java/io/bilberrylane/node/ConnectionLimitTest.java
@@ -5,6 +5,9 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import io.bilberrylane.net.SimpleHttpClient;
+import io.bilberrylane.net.Transport;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -23,6 +26,7 @@
     private static final int DEADLINE_MILLIS = 500;
     private static final int PAUSE_MILLIS = 100;
 
+    private final Transport mTransport = Transport.of(1);
     private final CountDownLatch mEnd = new CountDownLatch(1);
     private final CountDownLatch mHeld = new CountDownLatch(LIMIT);
     private final List<Socket> mCallers = new ArrayList<>();
@@ -45,6 +49,7 @@
         for (final Socket caller : mCallers) {
             caller.close();
         }
+        mTransport.close();
         mNode.close();
         mTarget.close();
     }
@@ -87,6 +92,24 @@
                 .toList();
     }
 
+    private double metric(final String name) {
+        final String page =
+                SimpleHttpClient.of(mTransport)
+                        .call(
+                                mNode.node().operatorAddress(),
+                                HttpMethod.GET,
+                                "/metrics",
+                                "",
+                                2_000)
+                        .join()
+                        .body();
+        return page.lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElseThrow();
+    }
+
     // Guards against: a call whose connection broke is blamed for a crash, because a later call
     // found no free connection.
     @Test
@@ -99,6 +122,20 @@
         assertThat(lines("crash-noted")).isEmpty();
     }
 
+    @Test
+    void shouldBeVisible() throws Exception {
+        holdEveryConnection();
+        refuseAtTheLimit();
+        assertThat(lines("connection-limit")).hasSize(1);
+        assertThat(lines("connection-limit").get(0).getArgumentArray())
+                .extracting(Object::toString)
+                .contains("limit=" + LIMIT, "counted=" + LIMIT, "open=" + LIMIT, "idle=0");
+        assertThat(metric("bilberrylane_target_connections_limit")).isEqualTo(LIMIT);
+        assertThat(metric("bilberrylane_target_connections_counted")).isEqualTo(LIMIT);
+        assertThat(metric("bilberrylane_target_connections_open")).isEqualTo(LIMIT);
+        assertThat(metric("bilberrylane_target_connections_refused")).isPositive();
+    }
+
     @Test
     void shouldServeAgainWhenAConnectionIsFree() throws Exception {
         holdEveryConnection();
