--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -16,6 +17,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,12 +31,17 @@
     /** More responses that do not answer the request, such as informational ones, break it off. */
     private static final int MAX_SKIPPED_RESPONSES = 64;
 
+    /** A connection that has carried so many requests that have an identity is not used again. */
+    static final int MAX_IDENTITIES = 1_024;
+
     /** More bytes of responses to other requests break the exchange off. */
     private static final long MAX_SKIPPED_BYTES = 4L * 1024 * 1024;
 
     private final TargetConnectionPool mPool;
     private final EndOfStreamHandler mEndOfStreamHandler = new EndOfStreamHandler();
-    private Channel mChannel;
+    private final TargetResponseDecoder mDecoder = new TargetResponseDecoder(this);
+    private final OneMessagePerReadHandler mMessages = new OneMessagePerReadHandler();
+    private volatile Channel mChannel;
     private TargetResponseListener mListener;
     private Runnable mAbortListener;
     private boolean mSkippingInformational;
@@ -41,6 +49,10 @@
     private int mSkippedResponses;
     private long mSkippedBytes;
     private int mExchangeCount;
+
+    /** Hashes suffice: two identities with the same one cost no more than a new connection. */
+    private final Set<Integer> mIdentityHashes = new HashSet<>();
+
     private boolean mReusable;
     private boolean mEndsWithConnection;
     private boolean mRequestSent;
@@ -51,12 +63,25 @@
         mPool = pool;
     }
 
+    /**
+     * Sets the channel, which is new, and adds its handlers. The pool and the exchange learn of its
+     * end from the channel itself: an event in its pipeline may be lost, because Netty removes the
+     * handlers of a closed channel. The exchange ends a little later, never within its own call.
+     */
     void attach(final Channel channel) {
         mChannel = channel;
-    }
-
-    EndOfStreamHandler endOfStreamHandler() {
-        return mEndOfStreamHandler;
+        channel.closeFuture()
+                .addListener(
+                        closed -> {
+                            mPool.onClosed(this);
+                            channel.eventLoop().execute(this::onClosed);
+                        });
+        channel.pipeline()
+                .addLast(mEndOfStreamHandler)
+                .addLast(mDecoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(mMessages)
+                .addLast(this);
     }
 
     EventLoop eventLoop() {
@@ -66,10 +91,20 @@
     /**
      * Returns whether the connection is open.
      *
-     * @return false once either end has closed it
+     * @return false until it is connected, and once either end has closed it
      */
     public boolean isOpen() {
-        return mChannel.isActive();
+        final Channel channel = mChannel;
+        return channel != null && channel.isActive();
+    }
+
+    /** Returns whether the target may send something: an exchange, or its abort, is in progress. */
+    boolean isInService() {
+        return mListener != null || mAbortListener != null;
+    }
+
+    boolean isHeadRequest() {
+        return mMethod.equals("HEAD");
     }
 
     /**
@@ -81,26 +116,56 @@
         return mExchangeCount > 1;
     }
 
+    /**
+     * Returns whether the connection has carried a request with an identity. A late response to
+     * that request could then be taken for the response to another one with the same identity.
+     *
+     * @param identity the identity; empty if the request has none
+     * @return false if it certainly has not; always false for an empty identity
+     */
+    boolean hasCarried(final String identity) {
+        return !identity.isEmpty() && mIdentityHashes.contains(identity.hashCode());
+    }
+
     long idleNanos(final long nowNanos) {
         return nowNanos - mIdleSinceNanos;
     }
 
     // -- exchange
 
+    /**
+     * Starts an exchange of a request without an identity.
+     *
+     * @param request the head of the request
+     * @param endOfRequest whether the request has no body
+     * @param listener receives the response
+     */
+    public void send(
+            final HttpRequest request,
+            final boolean endOfRequest,
+            final TargetResponseListener listener) {
+        send(request, "", endOfRequest, listener);
+    }
+
     /**
      * Starts an exchange. From then on the target may have received the request.
      *
      * @param request the head of the request
+     * @param identity the identity that the target repeats in its response; empty if there is none
      * @param endOfRequest whether the request has no body
      * @param listener receives the response
      */
     public void send(
             final HttpRequest request,
+            final String identity,
             final boolean endOfRequest,
             final TargetResponseListener listener) {
         mListener = listener;
         mExchangeCount++;
-        mReusable = true;
+        if (!identity.isEmpty()) {
+            mIdentityHashes.add(identity.hashCode());
+        }
+        mReusable = mIdentityHashes.size() < MAX_IDENTITIES;
         mEndsWithConnection = false;
         mMethod = request.method().name();
         mSkippedResponses = 0;
@@ -292,7 +357,7 @@
         }
         mListener = null;
         mIdleSinceNanos = System.nanoTime();
-        if (mReusable && mRequestSent && ctx.channel().isActive()) {
+        if (mReusable && mRequestSent && ctx.channel().isActive() && !hasRest()) {
             ctx.read();
             mPool.release(this);
         } else {
@@ -301,6 +366,13 @@
         listener.onComplete();
     }
 
+    /** Returns whether anything has arrived after the response, be it the end of the stream. */
+    private boolean hasRest() {
+        return mMessages.hasMessages()
+                || mDecoder.hasUndecodedBytes()
+                || mEndOfStreamHandler.isEndOfStream();
+    }
+
     private void fail(final Throwable cause) {
         final TargetResponseListener listener = mListener;
         mListener = null;
@@ -310,11 +382,12 @@
         }
     }
 
-    @Override
-    public void channelInactive(final ChannelHandlerContext ctx) {
-        mPool.onClosed(this);
+    private void onClosed() {
         endAbort();
-        fail(new ClosedChannelException());
+        fail(
+                mEndsWithConnection
+                        ? new IOException("connection lost during a response without a length")
+                        : new ClosedChannelException());
     }
 
     @Override
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -15,11 +15,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * A target whose side of each connection is written by the test, with a pool of connections to it
@@ -37,8 +40,10 @@
 
     static final String BROKEN = "broken";
 
-    private static final String UNREACHABLE = "unreachable";
-    private static final Set<String> ENDS = Set.of(COMPLETE, BROKEN, ABORTED, UNREACHABLE);
+    static final String UNREACHABLE = "unreachable";
+    static final String AT_LIMIT = "at-limit";
+    private static final Set<String> ENDS =
+            Set.of(COMPLETE, BROKEN, ABORTED, UNREACHABLE, AT_LIMIT);
     private static final int ACCEPT_TIMEOUT_MILLIS = 5_000;
     private static final long ABORT_DELAY_MILLIS = 30;
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
@@ -83,9 +88,44 @@
 
     /** Sends a request with a body of the given length; a length of 0 means no body. */
     void send(final String method, final int bodyBytes) {
+        send(method, bodyBytes, "");
+    }
+
+    /** Sends a request with an identity; a length of 0 means no body. */
+    void send(final String method, final int bodyBytes, final String identity) {
+        send(method, bodyBytes, identity, Recorder::new);
+    }
+
+    /** Sends a request and requests each part of the response a little after the one before. */
+    void sendAndReadSlowly(final String method, final int bodyBytes, final long delayMillis) {
+        send(
+                method,
+                bodyBytes,
+                "",
+                connection ->
+                        new Recorder(connection) {
+                            @Override
+                            public void onContent(final ByteBuf bytes) {
+                                record(bytes);
+                                connection
+                                        .eventLoop()
+                                        .schedule(
+                                                connection::read,
+                                                delayMillis,
+                                                TimeUnit.MILLISECONDS);
+                            }
+                        });
+    }
+
+    private void send(
+            final String method,
+            final int bodyBytes,
+            final String identity,
+            final Function<TargetConnection, TargetResponseListener> listener) {
         mPool.acquire(
                 mTransport.group().next(),
                 Long.MAX_VALUE,
+                identity,
                 connection -> {
                     final HttpRequest request =
                             new DefaultHttpRequest(
@@ -94,13 +134,13 @@
                     if (bodyBytes > 0) {
                         HttpUtil.setContentLength(request, bodyBytes);
                     }
-                    connection.send(request, bodyBytes == 0, new Recorder(connection));
+                    connection.send(request, identity, bodyBytes == 0, listener.apply(connection));
                     if (bodyBytes > 0) {
                         connection.sendBody(Unpooled.wrappedBuffer(new byte[bodyBytes]));
                         connection.endBody();
                     }
                 },
-                cause -> mEvents.add(UNREACHABLE));
+                this::recordRefusal);
     }
 
     /**
@@ -129,7 +169,7 @@
                                                         TimeUnit.MILLISECONDS);
                                     }
                                 }),
-                cause -> mEvents.add(UNREACHABLE));
+                this::recordRefusal);
     }
 
     /** Sends a request without a body and aborts it at once. */
@@ -144,7 +184,30 @@
                             new Recorder(connection));
                     connection.abort(() -> mEvents.add(ABORTED));
                 },
-                cause -> mEvents.add(UNREACHABLE));
+                this::recordRefusal);
+    }
+
+    /** Acquires a connection for an exchange that is not started. */
+    TargetConnection acquire() throws Exception {
+        final CompletableFuture<TargetConnection> acquired = new CompletableFuture<>();
+        mPool.acquire(
+                mTransport.group().next(),
+                Long.MAX_VALUE,
+                acquired::complete,
+                acquired::completeExceptionally);
+        return acquired.get(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void recordRefusal(final Throwable cause) {
+        mEvents.add(cause instanceof ConnectionLimitException ? AT_LIMIT : UNREACHABLE);
+    }
+
+    void closePool() {
+        mPool.close();
+    }
+
+    void stopListening() throws IOException {
+        mServer.close();
     }
 
     Socket accept() throws IOException {
@@ -160,6 +223,18 @@
         return socket;
     }
 
+    /** Waits for a request on a connection in use; returns false if it has not come in time. */
+    static boolean awaitRequest(final Socket socket, final int timeoutMillis) throws IOException {
+        socket.setSoTimeout(timeoutMillis);
+        try {
+            final boolean hasCome = socket.getInputStream().read() >= 0;
+            readAvailable(socket);
+            return hasCome;
+        } catch (SocketTimeoutException e) {
+            return false;
+        }
+    }
+
     /** Reads what has arrived, so that closing the connection does not reset it. */
     static void readAvailable(final Socket socket) throws IOException {
         socket.getInputStream().skipNBytes(socket.getInputStream().available());
@@ -197,6 +272,10 @@
         return !mEvents.isEmpty();
     }
 
+    int openConnections() {
+        return mPool.open();
+    }
+
     /**
      * Returns the number of connections that the pool counts once it is zero, or after a second.
      * The pool learns of the end of a connection after the exchange on it has ended.
@@ -225,9 +304,13 @@
 
         @Override
         public void onContent(final ByteBuf bytes) {
+            record(bytes);
+            mConnection.read();
+        }
+
+        protected final void record(final ByteBuf bytes) {
             mEvents.add(bytes.toString(StandardCharsets.ISO_8859_1));
             bytes.release();
-            mConnection.read();
         }
 
         @Override
