Never send an identity again on a connection that has carried it

What callers saw: a call that came with the identity of an earlier call got the earlier one's answer, a success where the target had just answered a failure, or the other way round.

Cause: the identity is the caller's and is the only thing by which a gate tells a response from a late copy. Two calls with one identity (a running request that runs again makes its calls again; a caller that sends a request again) reach one target over one kept connection, and the copy of the first answer is taken for the second.

Mend: the gate names the identity when it asks the pool for a connection and when it sends.

Ruled out: two sends of one call to a target (CallPlan excludes hosts that ran it).

--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -240,6 +240,7 @@
                 .acquire(
                         mLoop,
                         maxIdleNanos(),
+                        sentId(),
                         connection -> runOnEventLoop(() -> onConnected(connection)),
                         cause -> runOnEventLoop(() -> onConnectFailed(cause)));
     }
@@ -311,7 +312,7 @@
         mGate.recordRunStart(mHead);
         mStartedNanos = System.nanoTime();
         mLoadAtStart = mGate.load(mHead.route());
-        mConnection.send(request(), !mHead.hasBody(), this);
+        mConnection.send(request(), sentId(), !mHead.hasBody(), this);
         mBufferedBody.forEach(mConnection::sendBody);
         mBufferedBody.clear();
         if (mHead.hasBody() && mBodyEnded) {
