Refuse a head that was joined from two responses

What callers saw: a success for a request that its target had failed, with the request's own identity, signature and body; or a signed failure for one that was answered.

Cause: the beginning of a second response stays in the decoder without making a message. The next response is read as its continuation: 'HTTP/1.1 200 O' and 'HTTP/1.1 500 ...' make one head with the status of the first and all that identifies the second.

Mend: a head whose reason phrase or a field of which holds a status line fails the exchange. Whatever the cut, the second response's status line stands whole in the joined head; in other places it does not parse at all.

Ruled out: a whole copy with another identity (dropped as before).

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -286,6 +286,10 @@
             fail(response.decoderResult().cause());
             return;
         }
+        if (JoinedHeads.isJoined(response)) {
+            fail(new IOException("the head of a response continues that of an earlier one"));
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingInformational = true;
             countSkipped(1, 0);
