Bound the answers of the platform by what they may hold

Report of an operator: bytes without end from a server fill the memory of the machine that called it, and the requests of other clients on that machine end with it. For answers of the platform it happened here.

Callers saw: a deployed node (40 MB of heap) whose platform answers without end served 16 requests of a sound flow of 48/s in 25 s and then nothing more, also after the platform was sound again: time-outs at all callers, heartbeats lost, one OutOfMemoryError in the log.

Cause: SimpleHttpClient kept up to 64 MiB of an answer, more than the process has; parts of one byte were joined again and again and kept the only event loop busy. It also took a head that could not be read, or trailers that could not, for an answer with status 200.

Mend: the client counts all that arrives, with heads and framing, closes the connection at its bound and fails the call; the body is copied. 1 MiB unless the use says otherwise; 2 MiB for the platform, whose pages and values have about a megabyte (PROTOCOL); the tools that read records and fleets keep larger ones. A watch whose events are too long, or cannot be read, would fail for ever from the same version: it lists again.

Ruled out: probes use the connections of the call path, which are bounded (EndlessResponseTest).

--- a/src/main/java/io/bilberrylane/ctl/FleetStatusReader.java
+++ b/src/main/java/io/bilberrylane/ctl/FleetStatusReader.java
@@ -16,6 +16,9 @@
 public final class FleetStatusReader {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    /** A status has some hundred bytes for each node of the fleet. */
+    private static final int MAX_STATUS_BYTES = 16 * 1024 * 1024;
+
     private FleetStatusReader() {}
 
     /**
@@ -30,7 +33,7 @@
             final Transport transport,
             final List<InetSocketAddress> addresses,
             final long timeoutMillis) {
-        final SimpleHttpClient client = SimpleHttpClient.of(transport);
+        final SimpleHttpClient client = SimpleHttpClient.of(transport, MAX_STATUS_BYTES);
         final List<CompletableFuture<NodeStatus>> pending = new ArrayList<>();
         for (final InetSocketAddress address : addresses) {
             pending.add(
--- a/src/main/java/io/bilberrylane/load/LoadRun.java
+++ b/src/main/java/io/bilberrylane/load/LoadRun.java
@@ -12,6 +12,10 @@
 /** Sends calls at random times that do not depend on answers, and checks what comes back. */
 public final class LoadRun {
     private static final int MAX_RESENDS = 6;
+
+    /** The record of a target has a line for each request that it saw. */
+    private static final int MAX_RECORD_BYTES = 64 * 1024 * 1024;
+
     private static final long RESEND_MILLIS = 250;
     private static final long DRAIN_SECONDS = 20;
 
@@ -57,7 +61,8 @@
         }
         awaitAnswers();
         final var records =
-                TargetRecordReader.read(SimpleHttpClient.of(mTransport), mSettings.controls());
+                TargetRecordReader.read(
+                        SimpleHttpClient.of(mTransport, MAX_RECORD_BYTES), mSettings.controls());
         final List<Violation> violations = RunCheck.check(mLog.results(), records);
         return new LoadReport(
                 mSettings, mLog, planned, mInProgress.get(), records.size(), violations);
--- a/src/main/java/io/bilberrylane/net/SimpleHttpClient.java
+++ b/src/main/java/io/bilberrylane/net/SimpleHttpClient.java
@@ -1,21 +1,26 @@
 package io.bilberrylane.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -25,22 +30,37 @@
 
 /** Sends short HTTP requests, each on a connection of its own. */
 public final class SimpleHttpClient {
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+    private static final int DEFAULT_MAX_RESPONSE_BYTES = 1024 * 1024;
 
     private final Transport mTransport;
+    private final int mMaxResponseBytes;
 
-    private SimpleHttpClient(final Transport transport) {
+    private SimpleHttpClient(final Transport transport, final int maxResponseBytes) {
         mTransport = transport;
+        mMaxResponseBytes = maxResponseBytes;
     }
 
     /**
-     * Returns a client.
+     * Returns a client whose responses may have up to {@value #DEFAULT_MAX_RESPONSE_BYTES} bytes.
      *
      * @param transport the event loops and channel types
      * @return a client without open connections
      */
     public static SimpleHttpClient of(final Transport transport) {
-        return new SimpleHttpClient(Objects.requireNonNull(transport, "transport is null"));
+        return of(transport, DEFAULT_MAX_RESPONSE_BYTES);
+    }
+
+    /**
+     * Returns a client. A call whose response is longer than the given limit fails with a {@link
+     * ResponseTooLongException}, and its connection is closed there.
+     *
+     * @param transport the event loops and channel types
+     * @param maxResponseBytes the maximum length of a response with its head and framing, in bytes
+     * @return a client without open connections
+     */
+    public static SimpleHttpClient of(final Transport transport, final int maxResponseBytes) {
+        return new SimpleHttpClient(
+                Objects.requireNonNull(transport, "transport is null"), maxResponseBytes);
     }
 
     /**
@@ -92,10 +112,8 @@
                                     @Override
                                     protected void initChannel(final Channel channel) {
                                         channel.pipeline()
+                                                .addLast(new LengthLimit(mMaxResponseBytes, reply))
                                                 .addLast(new HttpClientCodec())
-                                                .addLast(
-                                                        new HttpObjectAggregator(
-                                                                MAX_RESPONSE_BYTES))
                                                 .addLast(new ReplyHandler(reply));
                                     }
                                 })
@@ -149,20 +167,59 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    private static final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Fails the call as soon as more bytes have arrived than its response may have. */
+    private static final class LengthLimit extends ChannelInboundHandlerAdapter {
+        private final int mMaxBytes;
+        private final CompletableFuture<HttpReply> mReply;
+        private long mBytes;
+
+        private LengthLimit(final int maxBytes, final CompletableFuture<HttpReply> reply) {
+            mMaxBytes = maxBytes;
+            mReply = reply;
+        }
+
+        @Override
+        public void channelRead(final ChannelHandlerContext ctx, final Object message) {
+            if (message instanceof ByteBuf bytes) {
+                mBytes += bytes.readableBytes();
+                if (mBytes > mMaxBytes) {
+                    bytes.release();
+                    mReply.completeExceptionally(new ResponseTooLongException(mMaxBytes));
+                    return;
+                }
+            }
+            ctx.fireChannelRead(message);
+        }
+    }
+
+    /** Copies the body, because many short parts would each keep a buffer. */
+    private static final class ReplyHandler extends SimpleChannelInboundHandler<HttpObject> {
         private final CompletableFuture<HttpReply> mReply;
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private int mStatus;
 
         private ReplyHandler(final CompletableFuture<HttpReply> reply) {
             mReply = reply;
         }
 
         @Override
-        protected void channelRead0(
-                final ChannelHandlerContext ctx, final FullHttpResponse response) {
-            mReply.complete(
-                    new HttpReply(
-                            response.status().code(),
-                            response.content().toString(StandardCharsets.UTF_8)));
+        protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject message)
+                throws IOException {
+            if (message.decoderResult().isFailure()) {
+                mReply.completeExceptionally(new IOException(message.decoderResult().cause()));
+            }
+            if (mReply.isDone()) {
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                mStatus = response.status().code();
+            }
+            if (message instanceof HttpContent content) {
+                content.content().readBytes(mBody, content.content().readableBytes());
+            }
+            if (message instanceof LastHttpContent) {
+                mReply.complete(new HttpReply(mStatus, mBody.toString(StandardCharsets.UTF_8)));
+            }
         }
 
         @Override
--- a/src/main/java/io/bilberrylane/node/KindWatch.java
+++ b/src/main/java/io/bilberrylane/node/KindWatch.java
@@ -207,15 +207,22 @@
         mInProgress = false;
         mWatch = null;
         LOGGER.atWarning().log("watch of %s ended: %s", mKind, cause.getMessage());
-        if (cause instanceof BilberrylaneException failure
-                && failure.code() == ErrorCode.PLATFORM_GONE) {
+        if (hasCode(cause, ErrorCode.PLATFORM_GONE)) {
             mVersion = -1;
             listOrWatch();
             return;
         }
+        if (hasCode(cause, ErrorCode.PLATFORM_UNREADABLE)) {
+            // The same events would come again; the pages of a list are shorter.
+            mVersion = -1;
+        }
         scheduleRetry();
     }
 
+    private static boolean hasCode(final RuntimeException cause, final ErrorCode code) {
+        return cause instanceof BilberrylaneException failure && failure.code() == code;
+    }
+
     private void scheduleRetry() {
         final int backoffMillis =
                 Math.min(
--- a/src/main/java/io/bilberrylane/platform/PlatformClient.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformClient.java
@@ -5,6 +5,7 @@
 import io.bilberrylane.base.BilberrylaneException;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.net.HttpReply;
+import io.bilberrylane.net.ResponseTooLongException;
 import io.bilberrylane.net.SimpleHttpClient;
 import io.bilberrylane.net.Transport;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,13 +19,16 @@
 
 /** A client of the platform's object API over HTTP that opens one connection for each request. */
 public final class PlatformClient implements ObjectStore {
+    /** A page of a list and a value have about a megabyte each. */
+    private static final int MAX_RESPONSE_BYTES = 2 * 1024 * 1024;
+
     private final SimpleHttpClient mHttpClient;
     private final URI mBaseUri;
     private final long mTimeoutMillis;
     private final PlatformCounters mCounters = new PlatformCounters();
 
     private PlatformClient(final Transport transport, final URI baseUri, final long timeoutMillis) {
-        mHttpClient = SimpleHttpClient.of(transport);
+        mHttpClient = SimpleHttpClient.of(transport, MAX_RESPONSE_BYTES);
         mBaseUri = baseUri;
         mTimeoutMillis = timeoutMillis;
     }
@@ -238,7 +242,10 @@
     }
 
     private static BilberrylaneException unavailable(final Throwable cause) {
-        return new BilberrylaneException(
-                ErrorCode.PLATFORM_UNAVAILABLE, "no response from the platform: " + cause, cause);
+        final ErrorCode code =
+                cause instanceof ResponseTooLongException
+                        ? ErrorCode.PLATFORM_UNREADABLE
+                        : ErrorCode.PLATFORM_UNAVAILABLE;
+        return new BilberrylaneException(code, "no response from the platform: " + cause, cause);
     }
 }
--- a/src/test/java/io/bilberrylane/node/KindWatchTest.java
+++ b/src/test/java/io/bilberrylane/node/KindWatchTest.java
@@ -159,6 +159,20 @@
         assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
     }
 
+    /** Events that are too long would be too long again; the pages of a list are not. */
+    @Test
+    void shouldListAgainWhenTheEventsCannotBeRead() throws Exception {
+        mWatch.setMode(KindWatch.Mode.WATCH);
+        assertThat(next(mDeliveredVersions)).isEqualTo(5);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+        mStore.mListener.onEvents(new ObjectEvents(8, List.of(new ObjectEvent(NEWER, false))));
+        assertThat(next(mDeliveredVersions)).isEqualTo(8);
+        mStore.mListener.onEnded(
+                new BilberrylaneException(ErrorCode.PLATFORM_UNREADABLE, "too long"));
+        assertThat(next(mDeliveredVersions)).isEqualTo(5);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
+    }
+
     @Test
     void shouldResumeFromTheLastEventWhenTheWatchIsCut() throws Exception {
         mWatch.setMode(KindWatch.Mode.WATCH);
