End a list of the platform whose pages have no end

Cause: a list is read page by page while the platform says that more follow, and all pages are kept. A platform (or what answers in its place) that names the same last object again, or sends page after page, filled the process; each page is a call of its own and is paid for.

Mend: a list ends with PLATFORM_UNREADABLE when a page does not get further than the one before, and when its pages together have more than 8 MiB. No kind has more than some values of a megabyte and short objects.

Red without the mend: EndlessPlatformTest.shouldEndTheListWhenItsPagesHaveNoEnd, still reading after 10 s.

--- a/src/main/java/io/bilberrylane/platform/PlatformClient.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformClient.java
@@ -22,6 +22,9 @@
     /** A page of a list and a value have about a megabyte each. */
     private static final int MAX_RESPONSE_BYTES = 2 * 1024 * 1024;
 
+    /** Longer lists, of all pages, are not read: no kind has more than some values and names. */
+    private static final long MAX_LIST_CHARS = 4L * MAX_RESPONSE_BYTES;
+
     private final SimpleHttpClient mHttpClient;
     private final URI mBaseUri;
     private final long mTimeoutMillis;
@@ -70,18 +73,19 @@
 
     @Override
     public CompletableFuture<ObjectList> list(final String kind) {
-        return listPages(kind, "", false, new ArrayList<>());
+        return listPages(kind, "", false, 0, new ArrayList<>());
     }
 
     @Override
     public CompletableFuture<ObjectList> listStale(final String kind) {
-        return listPages(kind, "", true, new ArrayList<>());
+        return listPages(kind, "", true, 0, new ArrayList<>());
     }
 
     private CompletableFuture<ObjectList> listPages(
             final String kind,
             final String afterName,
             final boolean staleAllowed,
+            final long previousChars,
             final List<StoredObject> collected) {
         mCounters.countRead();
         return call(HttpMethod.GET, StoreRequest.ofPage(kind, afterName, staleAllowed), "")
@@ -95,7 +99,13 @@
                                         new ObjectList(page.version(), collected));
                             }
                             final StoredObject last = page.items().get(page.items().size() - 1);
-                            return listPages(kind, last.name(), staleAllowed, collected);
+                            final long chars = previousChars + text.length();
+                            if (last.name().equals(afterName) || chars > MAX_LIST_CHARS) {
+                                throw new BilberrylaneException(
+                                        ErrorCode.PLATFORM_UNREADABLE,
+                                        "the list of " + kind + " has no end");
+                            }
+                            return listPages(kind, last.name(), staleAllowed, chars, collected);
                         });
     }
 
--- a/src/test/java/io/bilberrylane/platform/EndlessPlatformTest.java
+++ b/src/test/java/io/bilberrylane/platform/EndlessPlatformTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -83,4 +84,17 @@
             assertThat(platform.writtenBytes()).isLessThan(3 * MAX_ACCEPTED_BYTES);
         }
     }
+
+    /** Each page is whole and names the same object, and each says that more follow. */
+    @Test
+    void shouldEndTheListWhenItsPagesHaveNoEnd() throws Exception {
+        final String page =
+                "{\"currentRev\":5,\"hasMore\":true,\"items\":[{\"metadata\":{\"name\":\"a\"}}]}";
+        final String response =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + page.length() + "\r\n\r\n" + page;
+        try (EndlessServer platform = EndlessServer.start(response, " ")) {
+            assertThat(codeOf(client(platform).list("k"))).isEqualTo(ErrorCode.PLATFORM_UNREADABLE);
+            assertThat(platform.requests()).isLessThan(10);
+        }
+    }
 }
