Quote no more than the beginning of a refusal of the platform

Red without the mend: EndlessPlatformTest.shouldKeepTheMessageShortWhenARefusalIsLong (a million characters).

--- a/src/main/java/io/bilberrylane/platform/PlatformErrors.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformErrors.java
@@ -5,6 +5,8 @@
 
 /** Maps HTTP statuses of the platform to errors. */
 final class PlatformErrors {
+    private static final int MAX_QUOTED_CHARS = 200;
+
     private PlatformErrors() {}
 
     static BilberrylaneException of(final int status, final String body) {
@@ -16,6 +18,7 @@
                     case 429 -> ErrorCode.PLATFORM_THROTTLED;
                     default -> ErrorCode.PLATFORM_UNAVAILABLE;
                 };
-        return new BilberrylaneException(code, "the platform answered " + status + ": " + body);
+        final String quoted = body.substring(0, Math.min(body.length(), MAX_QUOTED_CHARS));
+        return new BilberrylaneException(code, "the platform answered " + status + ": " + quoted);
     }
 }
--- a/src/test/java/io/bilberrylane/platform/EndlessPlatformTest.java
+++ b/src/test/java/io/bilberrylane/platform/EndlessPlatformTest.java
@@ -97,4 +97,10 @@
             assertThat(platform.requests()).isLessThan(10);
         }
     }
+
+    @Test
+    void shouldKeepTheMessageShortWhenARefusalIsLong() {
+        assertThat(PlatformErrors.of(503, "a".repeat(1_000_000)).getMessage().length())
+                .isLessThan(1_000);
+    }
 }
