Let go of a response of the platform when the call has ended

For a watch, which waits up to 28 s, a configuration of a megabyte that changes every second would be kept some thirty times in a process with 40 MB of heap.

Mend: the timer is cancelled when the call ends.

--- a/src/main/java/io/bilberrylane/net/SimpleHttpClient.java
+++ b/src/main/java/io/bilberrylane/net/SimpleHttpClient.java
@@ -26,6 +26,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** Sends short HTTP requests, each on a connection of its own. */
@@ -126,8 +127,12 @@
                         reply.completeExceptionally(done.cause());
                     }
                 });
-        scheduleTimeout(reply, future, timeoutMillis);
-        reply.whenComplete((response, failure) -> future.channel().close());
+        final Future<?> timeout = scheduleTimeout(reply, future, timeoutMillis);
+        reply.whenComplete(
+                (response, failure) -> {
+                    timeout.cancel(false);
+                    future.channel().close();
+                });
         return reply;
     }
 
@@ -152,11 +157,11 @@
         return request;
     }
 
-    private static void scheduleTimeout(
+    private static Future<?> scheduleTimeout(
             final CompletableFuture<HttpReply> reply,
             final ChannelFuture future,
             final long timeoutMillis) {
-        future.channel()
+        return future.channel()
                 .eventLoop()
                 .schedule(
                         () -> {
--- a/src/test/java/io/bilberrylane/net/SimpleHttpClientTest.java
+++ b/src/test/java/io/bilberrylane/net/SimpleHttpClientTest.java
@@ -18,6 +18,8 @@
     /** The limit and what the sockets of both ends hold. */
     private static final long MAX_ACCEPTED_BYTES = 16L * 1024 * 1024;
 
+    private static final int LONG_BODY_BYTES = 1024 * 1024;
+    private static final int LONG_RESPONSES = 40;
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final long MAX_WAIT_SECONDS = 10;
 
@@ -71,4 +73,28 @@
                     .hasCauseInstanceOf(ResponseTooLongException.class);
         }
     }
+
+    // Guards against: each response stays in memory until the call would have timed out, which for
+    // a watch is half a minute.
+    @Test
+    void shouldNotKeepResponsesUntilTheirTimeout() throws Exception {
+        final String body = "a".repeat(LONG_BODY_BYTES);
+        final String response = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n";
+        try (EndlessServer server = EndlessServer.start(response + body, " ")) {
+            final SimpleHttpClient client = SimpleHttpClient.of(mTransport, 2 * LONG_BODY_BYTES);
+            final long before = heapBytes();
+            for (int i = 0; i < LONG_RESPONSES; i++) {
+                final HttpReply reply =
+                        client.call(server.address(), HttpMethod.GET, "/", "", TIMEOUT_MILLIS)
+                                .get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+                assertThat(reply.body()).hasSize(LONG_BODY_BYTES);
+            }
+            assertThat(heapBytes() - before).isLessThan(LONG_RESPONSES * LONG_BODY_BYTES / 4);
+        }
+    }
+
+    private static long heapBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
 }
