Log each request whose caller got no whole response

Each such request now has one decision line, answer-cut, with its id, the reason, whether a gate had admitted it, the status sent, the bytes written, whether the node was leaving, and its age, and counts in bilberrylane_answers_cut_total. The line goes through the bounded queue that never blocks.

--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -1,6 +1,6 @@
 package io.bilberrylane.http;
 
-import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.Limits;
@@ -44,8 +44,6 @@
  * events from other threads are dispatched to it.
  */
 final class InboundExchange implements ResponseSink {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     /** An unread body up to this length is read and discarded to keep the connection open. */
     private static final long MAX_DISCARD_BYTES = 64 * 1024;
 
@@ -73,6 +71,8 @@
     private boolean mKeepAlive;
     private boolean mDone;
     private int mStatus;
+    private long mWrittenBytes;
+    private boolean mCutLogged;
 
     InboundExchange(
             final ChannelHandlerContext ctx,
@@ -208,9 +208,15 @@
         return mHead.bodyBytes() != 0;
     }
 
-    void onCallerDisconnected() {
+    /**
+     * Ends the exchange because its connection has ended.
+     *
+     * @param cause how the connection ended
+     */
+    void onConnectionEnded(final String cause) {
         if (!mDone) {
             mDone = true;
+            recordCut(cause);
             if (mBodySink != null) {
                 mBodySink.cancel();
             }
@@ -277,6 +283,7 @@
                             .addListener(
                                     written -> {
                                         if (written.isSuccess() && mBodySink != null) {
+                                            mWrittenBytes += length;
                                             mBodySink.credit(length);
                                         }
                                     });
@@ -290,9 +297,7 @@
                     if (mDone) {
                         return;
                     }
-                    mSettings
-                            .metrics()
-                            .recordResponse(mService, mStatus, System.nanoTime() - mStartNanos);
+                    mSettings.metrics().recordResponse(mService, mStatus, elapsedNanos());
                     finish(mCtx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
                 });
     }
@@ -378,11 +383,9 @@
             return;
         }
         if (mHeadSent) {
-            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-                    "response aborted with code %s; the caller's connection is closed",
-                    code.wireName());
             mDone = true;
             mSettings.metrics().recordError(mService, code.wireName(), false);
+            recordCut("broken:" + code.wireName());
             abortResponse();
             return;
         }
@@ -397,6 +400,29 @@
         mCtx.close();
     }
 
+    /** Records that the caller did not get a whole response to a request that was read. */
+    private void recordCut(final String reason) {
+        if (mCutLogged) {
+            return;
+        }
+        mCutLogged = true;
+        DecisionLog.event("answer-cut")
+                .with("request", mRequest.headers().get(mSettings.names().requestId(), ""))
+                .with("service", mService)
+                .with("reason", reason)
+                .with("admitted", mAdmitted)
+                .with("status", mStatus)
+                .with("writtenBytes", mWrittenBytes)
+                .with("leaving", mSettings.isLeaving())
+                .with("elapsedMillis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
+                .write();
+        mSettings.metrics().recordCut(mService, reason.split(":", 2)[0]);
+    }
+
+    private long elapsedNanos() {
+        return System.nanoTime() - mStartNanos;
+    }
+
     private void refuse(final ErrorCode code, final boolean notRun, final long retryAfterMillis) {
         if (mDone) {
             return;
@@ -410,10 +436,11 @@
                                 code.wireName(),
                                 outcome)
                         .getBytes(StandardCharsets.UTF_8);
+        mStatus = mSettings.names().statusOf(code, notRun);
         final FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(mSettings.names().statusOf(code, notRun)),
+                        HttpResponseStatus.valueOf(mStatus),
                         Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -434,6 +461,12 @@
 
     private void finish(final io.netty.channel.ChannelFuture written) {
         mDone = true;
+        written.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        recordCut("unwritten:" + done.cause());
+                    }
+                });
         if (mKeepAlive) {
             mHandler.onExchangeDone(!mBodyDone);
             return;
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -3,8 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.CallerLimits;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -14,12 +15,13 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 /** Serves one connection of a caller, one request at a time and in order. */
-final class IngressHandler extends ChannelInboundHandlerAdapter {
+final class IngressHandler extends ChannelDuplexHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final IngressSettings mSettings;
@@ -31,6 +33,7 @@
     private boolean mDiscarding;
     private boolean mDecodeFailed;
     private boolean mServed;
+    private String mEndCause = "caller-left";
     private ScheduledFuture<?> mTimer;
 
     IngressHandler(final IngressSettings settings, final ResponseEncoder encoder) {
@@ -52,10 +55,17 @@
         if (mExchange != null) {
             final InboundExchange exchange = mExchange;
             mExchange = null;
-            exchange.onCallerDisconnected();
+            exchange.onConnectionEnded(mEndCause);
         }
     }
 
+    /** Notes that the node ends and closes its connections. */
+    @Override
+    public void close(final ChannelHandlerContext ctx, final ChannelPromise promise) {
+        mEndCause = "node-closed";
+        ctx.close(promise);
+    }
+
     @Override
     public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
         if (cause instanceof DecoderException && ctx.channel().isActive()) {
@@ -67,6 +77,7 @@
         }
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
                 "caller connection failed");
+        mEndCause = (cause instanceof IOException ? "caller-lost:" : "error:") + cause;
         ctx.close();
     }
 
--- a/src/main/java/io/bilberrylane/http/IngressMetrics.java
+++ b/src/main/java/io/bilberrylane/http/IngressMetrics.java
@@ -16,6 +16,11 @@
                         final String service, final String code, final boolean notRun) {
                     // Nothing is recorded.
                 }
+
+                @Override
+                public void recordCut(final String service, final String reason) {
+                    // Nothing is recorded.
+                }
             };
 
     /**
@@ -35,4 +40,12 @@
      * @param notRun whether the call certainly was not run
      */
     void recordError(String service, String code, boolean notRun);
+
+    /**
+     * Records that a caller did not get a whole response to a request that was read.
+     *
+     * @param service the catalogue entry, or empty
+     * @param reason why, one of a few words
+     */
+    void recordCut(String service, String reason);
 }
--- a/src/main/java/io/bilberrylane/node/NodeMetrics.java
+++ b/src/main/java/io/bilberrylane/node/NodeMetrics.java
@@ -19,6 +19,7 @@
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<String, Timer> mTimers = new ConcurrentHashMap<>();
     private final Map<String, Counter> mRefusals = new ConcurrentHashMap<>();
+    private final Map<String, Counter> mCuts = new ConcurrentHashMap<>();
 
     @Override
     public void recordResponse(final String service, final int status, final long durationNanos) {
@@ -65,6 +66,19 @@
                 .increment();
     }
 
+    @Override
+    public void recordCut(final String service, final String reason) {
+        mCuts.computeIfAbsent(
+                        service + " " + reason,
+                        key ->
+                                Counter.builder("bilberrylane.answers.cut")
+                                        .description("Requests without a whole response")
+                                        .tag("service", service)
+                                        .tag("reason", reason)
+                                        .register(mRegistry))
+                .increment();
+    }
+
     void gauge(final String name, final String description, final Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(mRegistry);
     }
--- /dev/null
+++ b/src/test/java/io/bilberrylane/http/ScriptedCalls.java
@@ -0,0 +1,195 @@
+package io.bilberrylane.http;
+
+import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.catalogue.Catalogue;
+import io.bilberrylane.catalogue.CatalogueReader;
+import io.bilberrylane.net.Transport;
+import io.bilberrylane.outcome.CallPhase;
+import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.HeaderField;
+import io.bilberrylane.peer.ResponseHead;
+import io.bilberrylane.peer.ResponseSink;
+import io.bilberrylane.policy.TargetLoad;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A server whose responses are written by the test, and the cuts that it reports. */
+final class ScriptedCalls implements AutoCloseable {
+    private static final int READ_TIMEOUT_MILLIS = 5_000;
+    private static final long EVENT_TIMEOUT_SECONDS = 5;
+    private static final long NO_CALL_MILLIS = 300;
+
+    /** Small, so that a large response stays unwritten until the caller reads. */
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
+    static final String REQUEST = "GET / HTTP/1.1\r\nHost: s\r\n\r\n";
+
+    private static final String CATALOGUE =
+            "schema: 1\nservices:\n- {service: s, owner: o, limits: {bodyBytes: 100000}}\n";
+
+    private final BlockingQueue<Call> mCalls = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> mCuts = new LinkedBlockingQueue<>();
+    private final Transport mTransport = Transport.of(1);
+    private final HttpServer mServer;
+    private volatile Runnable mBeforeRouting = () -> {};
+
+    ScriptedCalls() {
+        final Catalogue catalogue = CatalogueReader.read("test", CATALOGUE).orThrow();
+        mServer =
+                HttpServer.bind(
+                        mTransport,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        () -> catalogue,
+                        (route, head, executor, sink) -> {
+                            mBeforeRouting.run();
+                            final Call call = new Call(sink);
+                            mCalls.add(call);
+                            return call;
+                        },
+                        Optional.empty(),
+                        "",
+                        HeaderNames.OWN,
+                        "",
+                        new CutRecorder());
+    }
+
+    // -- calls
+
+    /** One call; the test sends the events of its response. */
+    static final class Call implements BodySink {
+        private final ResponseSink mSink;
+
+        private Call(final ResponseSink sink) {
+            mSink = sink;
+        }
+
+        void respondWithHead(final int bodyBytes) {
+            mSink.onAdmitted(TargetLoad.ABSENT);
+            mSink.onHead(
+                    ResponseHead.of(
+                            200, List.of(new HeaderField("Content-Length", "" + bodyBytes))));
+        }
+
+        void respondWithBody(final int bytes) {
+            mSink.onData(Unpooled.wrappedBuffer(new byte[bytes]));
+        }
+
+        void endResponse() {
+            mSink.onEnd(TargetLoad.ABSENT);
+        }
+
+        void breakResponse() {
+            mSink.onFailed(ErrorCode.TARGET_FAILED, CallPhase.STARTED);
+        }
+
+        @Override
+        public void data(final ByteBuf bytes) {
+            mSink.onCredit(bytes.readableBytes());
+            bytes.release();
+        }
+
+        @Override
+        public void end() {
+            // The test ends the call.
+        }
+
+        @Override
+        public void cancel() {
+            // There is nothing to cancel.
+        }
+
+        @Override
+        public void credit(final int bytes) {
+            // The test sends the response whether or not the caller reads it.
+        }
+    }
+
+    /** Returns the next call that the server has routed; fails if there is none. */
+    Call nextCall() throws InterruptedException {
+        return Objects.requireNonNull(
+                mCalls.poll(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS), "no call was routed");
+    }
+
+    /** Returns whether another call is routed within a moment. */
+    boolean hasNextCall() throws InterruptedException {
+        return mCalls.poll(NO_CALL_MILLIS, TimeUnit.MILLISECONDS) != null;
+    }
+
+    /** Sets what runs in the server's event loop before each call. */
+    void beforeRouting(final Runnable action) {
+        mBeforeRouting = action;
+    }
+
+    HttpServer server() {
+        return mServer;
+    }
+
+    // -- caller
+
+    Socket connect() throws IOException {
+        final Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(mServer.address());
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    static void sendRequest(final Socket socket) throws IOException {
+        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    static String readHead(final Socket socket) throws IOException {
+        final StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            final int next = socket.getInputStream().read();
+            if (next < 0) {
+                return head.toString();
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    /** Returns the next reported cut; null if there is none for some seconds. */
+    String nextCut() throws InterruptedException {
+        return mCuts.poll(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    boolean hasCuts() {
+        return !mCuts.isEmpty();
+    }
+
+    private final class CutRecorder implements IngressMetrics {
+        @Override
+        public void recordResponse(
+                final String service, final int status, final long durationNanos) {
+            // Only the cuts are wanted.
+        }
+
+        @Override
+        public void recordError(final String service, final String code, final boolean notRun) {
+            // Only the cuts are wanted.
+        }
+
+        @Override
+        public void recordCut(final String service, final String reason) {
+            mCuts.add(reason);
+        }
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+        mTransport.close();
+    }
+}
