Write the last response before a leaving node closes its connection

Callers of a node that was being stopped could get a part of a response and the end of their kept connection, though the target's response was whole (LOST beside planned work).

Cause: the node closed a kept connection as soon as the last part of a response was handed over to the connection, not when it was written, in two places: at the end of an exchange whose head had still promised to keep the connection (the node began to leave in between), and when it closed idle connections. Netty drops what waits to be written when a channel is closed.

Both now close after the write.

CallerConnectionEndTest, a caller that reads 0.2 s later: 2 of 2 red before (2,809,856 of 16,777,216 bytes came), 2 of 2 green now. On the users' machines answers are at most 30 kB, which fit into the buffers of a socket; whether this is their case isn't shown.

--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -467,6 +467,7 @@
                         recordCut("unwritten:" + done.cause());
                     }
                 });
+        mKeepAlive &= !mHandler.isClosing();
         if (mKeepAlive) {
             mHandler.onExchangeDone(!mBodyDone);
             return;
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.CallerLimits;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -89,9 +90,16 @@
         mExchange.refuseMalformed(ErrorCode.BAD_REQUEST);
     }
 
+    /** Closes the connection if no request is in progress, once the last response is written. */
     void closeIfIdle() {
         if (mExchange == null && mServed && mCtx != null) {
-            mCtx.close();
+            mCtx.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(
+                            done -> {
+                                if (mExchange == null) {
+                                    mCtx.close();
+                                }
+                            });
         }
     }
 
@@ -173,10 +181,6 @@
     void onExchangeDone(final boolean bodyRemains) {
         mExchange = null;
         mServed = true;
-        if (isClosing()) {
-            mCtx.close();
-            return;
-        }
         if (mDecodeFailed) {
             refuseUndecodable();
             return;
--- /dev/null
+++ b/src/test/java/io/bilberrylane/http/CallerConnectionEndTest.java
@@ -0,0 +1,73 @@
+package io.bilberrylane.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Kept connections of callers that the node closes. */
+final class CallerConnectionEndTest {
+    /** More than the buffers of the sockets hold, so that a part stays unwritten. */
+    private static final int BODY_BYTES = 16 * 1024 * 1024;
+
+    /** So that the node does what it does before the caller reads. */
+    private static final long SLOW_READER_MILLIS = 200;
+
+    private ScriptedCalls mCalls;
+    private Socket mCaller;
+    private ScriptedCalls.Call mCall;
+
+    @BeforeEach
+    void start() throws Exception {
+        mCalls = new ScriptedCalls();
+        mCaller = mCalls.connect();
+        ScriptedCalls.sendRequest(mCaller);
+        mCall = mCalls.nextCall();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mCaller.close();
+        mCalls.close();
+    }
+
+    private void respond() {
+        mCall.respondWithBody(BODY_BYTES);
+        mCall.endResponse();
+    }
+
+    /** Reads a response and the end of the connection. */
+    private void assertWholeResponse() throws Exception {
+        TimeUnit.MILLISECONDS.sleep(SLOW_READER_MILLIS);
+        assertThat(mCaller.getInputStream().readAllBytes()).hasSize(BODY_BYTES);
+        assertThat(mCalls.hasCuts()).isFalse();
+    }
+
+    // Guards against: a node that begins to leave while a response is on its way closes the
+    // connection before the rest of the response is written.
+    @Test
+    void shouldWriteTheWholeResponseWhenTheNodeLeavesAfterItsHead() throws Exception {
+        mCall.respondWithHead(1 + BODY_BYTES);
+        mCall.respondWithBody(1);
+        assertThat(ScriptedCalls.readHead(mCaller)).doesNotContainIgnoringCase("connection:");
+        mCaller.getInputStream().skipNBytes(1);
+        mCalls.server().leave();
+        respond();
+        assertWholeResponse();
+    }
+
+    // Guards against: a leaving node takes a connection for idle whose last response is not
+    // written yet.
+    @Test
+    void shouldWriteTheWholeResponseWhenIdleConnectionsAreClosed() throws Exception {
+        mCall.respondWithHead(BODY_BYTES);
+        respond();
+        ScriptedCalls.readHead(mCaller);
+        mCalls.server().leave();
+        mCalls.server().closeIdle();
+        assertWholeResponse();
+    }
+}
