Count a request until its response is written, so that a leaving node waits

Two ways in which a leaving node took itself for idle while a caller waited, and ended 0.35 s later instead of up to the end of the drain (LOST beside a SIGTERM): - a request had passed the check whether the node refuses requests, but the call was not counted yet (the check runs on the event loop, the leave on its own thread); - the response was handed over and counted as ended, but a slow reader had not taken all of it, so its rest was still in the node.

The server now counts an exchange before that check and until its response is written, the response breaks off or the connection ends, and the node waits for the count. Requests to the node itself, such as heartbeats, don't count.

CallerConnectionEndTest.

--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 /** An HTTP server on one address of a node. */
@@ -23,6 +24,7 @@
 
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final AtomicInteger mExchanges = new AtomicInteger();
     private final Transport mTransport;
     private final IngressSettings mSettings;
     private Channel mChannel;
@@ -55,7 +57,8 @@
                         this::remainingMillis,
                         names,
                         service,
-                        metrics);
+                        metrics,
+                        mExchanges);
     }
 
     /**
@@ -183,6 +186,16 @@
         return mConnections.size();
     }
 
+    /**
+     * Returns the number of requests to targets that were read and whose responses are not written.
+     * A request counts before it is checked whether the server refuses requests.
+     *
+     * @return the number of exchanges
+     */
+    public int exchanges() {
+        return mExchanges.get();
+    }
+
     /** Drains the callers: each response from now on closes its connection. */
     public void leave() {
         mLeaving = true;
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -73,6 +73,7 @@
     private int mStatus;
     private long mWrittenBytes;
     private boolean mCutLogged;
+    private boolean mCounted;
 
     InboundExchange(
             final ChannelHandlerContext ctx,
@@ -99,6 +100,8 @@
             startReading(mHead.bodyBytes());
             return;
         }
+        mSettings.openExchanges().incrementAndGet();
+        mCounted = true;
         if (mSettings.isRefusing()) {
             refuse(ErrorCode.LEAVING, true, LEAVING_RETRY_MILLIS);
             return;
@@ -217,6 +220,7 @@
         if (!mDone) {
             mDone = true;
             recordCut(cause);
+            endCount();
             if (mBodySink != null) {
                 mBodySink.cancel();
             }
@@ -386,6 +390,7 @@
             mDone = true;
             mSettings.metrics().recordError(mService, code.wireName(), false);
             recordCut("broken:" + code.wireName());
+            endCount();
             abortResponse();
             return;
         }
@@ -419,6 +424,14 @@
         mSettings.metrics().recordCut(mService, reason.split(":", 2)[0]);
     }
 
+    /** Ends the count of the exchange; its response is written, or never will be. */
+    private void endCount() {
+        if (mCounted) {
+            mCounted = false;
+            mSettings.openExchanges().decrementAndGet();
+        }
+    }
+
     private long elapsedNanos() {
         return System.nanoTime() - mStartNanos;
     }
@@ -466,6 +479,7 @@
                     if (!done.isSuccess()) {
                         recordCut("unwritten:" + done.cause());
                     }
+                    endCount();
                 });
         mKeepAlive &= !mHandler.isClosing();
         if (mKeepAlive) {
--- a/src/main/java/io/bilberrylane/http/IngressSettings.java
+++ b/src/main/java/io/bilberrylane/http/IngressSettings.java
@@ -3,6 +3,7 @@
 import io.bilberrylane.catalogue.Catalogue;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -21,6 +22,7 @@
  * @param names the header fields that callers use
  * @param service the service that runs beside the node, sent to targets; may be empty
  * @param metrics records calls and their outcomes
+ * @param openExchanges the requests to targets that were read and whose responses are not written
  */
 record IngressSettings(
         HttpLimits limits,
@@ -33,7 +35,8 @@
         LongSupplier remainingMillis,
         HeaderNames names,
         String service,
-        IngressMetrics metrics) {
+        IngressMetrics metrics,
+        AtomicInteger openExchanges) {
     IngressSettings {
         Objects.requireNonNull(limits, "limits is null");
         Objects.requireNonNull(catalogue, "catalogue is null");
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -476,7 +476,9 @@
     }
 
     private boolean isBusy() {
-        return mGate.load().inFlight() > 0 || mRouter.callsInProgress() > 0;
+        return mGate.load().inFlight() > 0
+                || mRouter.callsInProgress() > 0
+                || mCallerServer.exchanges() + mTargetServer.exchanges() > 0;
     }
 
     private static void sleep(final long millis) {
--- a/src/test/java/io/bilberrylane/http/CallerConnectionEndTest.java
+++ b/src/test/java/io/bilberrylane/http/CallerConnectionEndTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -70,4 +72,68 @@
         mCalls.server().closeIdle();
         assertWholeResponse();
     }
+
+    // Guards against: a node ends while a response waits for its slow reader.
+    @Test
+    void shouldCountAnExchangeUntilItsResponseIsWritten() throws Exception {
+        mCall.respondWithHead(BODY_BYTES);
+        respond();
+        ScriptedCalls.readHead(mCaller);
+        assertThat(mCalls.server().exchanges()).isEqualTo(1);
+        mCaller.getInputStream().skipNBytes(BODY_BYTES);
+        awaitNoExchange();
+    }
+
+    @Test
+    void shouldNotCountAnExchangeWhoseCallerHasLeft() throws Exception {
+        assertThat(mCalls.server().exchanges()).isEqualTo(1);
+        mCaller.close();
+        awaitNoExchange();
+    }
+
+    @Test
+    void shouldNotCountAnExchangeThatBrokeOff() throws Exception {
+        mCall.respondWithHead(BODY_BYTES);
+        mCall.breakResponse();
+        awaitNoExchange();
+    }
+
+    // Guards against: a request that passes the check of a leaving node, but is not counted yet,
+    // is left behind because the node takes itself for idle.
+    @Test
+    void shouldCountARequestBeforeItChecksWhetherTheNodeRefuses() throws Exception {
+        final CountDownLatch reached = new CountDownLatch(1);
+        final CountDownLatch goOn = new CountDownLatch(1);
+        mCalls.beforeRouting(
+                () -> {
+                    reached.countDown();
+                    await(goOn);
+                });
+        try (Socket late = mCalls.connect()) {
+            ScriptedCalls.sendRequest(late);
+            await(reached);
+            mCalls.server().refuseNewRequests();
+            final int exchanges = mCalls.server().exchanges();
+            goOn.countDown();
+            assertThat(exchanges).isEqualTo(2);
+        }
+    }
+
+    private static void await(final CountDownLatch latch) {
+        try {
+            assertThat(latch.await(5, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void awaitNoExchange() throws Exception {
+        CompletableFuture.runAsync(
+                        () -> {
+                            while (mCalls.server().exchanges() > 0) {
+                                Thread.onSpinWait();
+                            }
+                        })
+                .get(5, TimeUnit.SECONDS);
+    }
 }
