--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -1,6 +1,6 @@
 package io.bilberrylane.http;
 
-import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.catalogue.Catalogue;
 import io.bilberrylane.catalogue.Limits;
@@ -44,8 +44,6 @@
  * events from other threads are dispatched to it.
  */
 final class InboundExchange implements ResponseSink {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     /** An unread body up to this length is read and discarded to keep the connection open. */
     private static final long MAX_DISCARD_BYTES = 64 * 1024;
 
@@ -73,6 +71,9 @@
     private boolean mKeepAlive;
     private boolean mDone;
     private int mStatus;
+    private long mWrittenBytes;
+    private boolean mCutLogged;
+    private boolean mCounted;
 
     InboundExchange(
             final ChannelHandlerContext ctx,
@@ -99,6 +100,8 @@
             startReading(mHead.bodyBytes());
             return;
         }
+        mSettings.openExchanges().incrementAndGet();
+        mCounted = true;
         if (mSettings.isRefusing()) {
             refuse(ErrorCode.LEAVING, true, LEAVING_RETRY_MILLIS);
             return;
@@ -208,9 +211,16 @@
         return mHead.bodyBytes() != 0;
     }
 
-    void onCallerDisconnected() {
+    /**
+     * Ends the exchange because its connection has ended.
+     *
+     * @param cause how the connection ended
+     */
+    void onConnectionEnded(final String cause) {
         if (!mDone) {
             mDone = true;
+            recordCut(cause);
+            endCount();
             if (mBodySink != null) {
                 mBodySink.cancel();
             }
@@ -277,6 +287,7 @@
                             .addListener(
                                     written -> {
                                         if (written.isSuccess() && mBodySink != null) {
+                                            mWrittenBytes += length;
                                             mBodySink.credit(length);
                                         }
                                     });
@@ -290,9 +301,7 @@
                     if (mDone) {
                         return;
                     }
-                    mSettings
-                            .metrics()
-                            .recordResponse(mService, mStatus, System.nanoTime() - mStartNanos);
+                    mSettings.metrics().recordResponse(mService, mStatus, elapsedNanos());
                     finish(mCtx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
                 });
     }
@@ -378,11 +387,10 @@
             return;
         }
         if (mHeadSent) {
-            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-                    "response aborted with code %s; the caller's connection is closed",
-                    code.wireName());
             mDone = true;
             mSettings.metrics().recordError(mService, code.wireName(), false);
+            recordCut("broken:" + code.wireName());
+            endCount();
             abortResponse();
             return;
         }
@@ -397,6 +405,37 @@
         mCtx.close();
     }
 
+    /** Records that the caller did not get a whole response to a request that was read. */
+    private void recordCut(final String reason) {
+        if (mCutLogged) {
+            return;
+        }
+        mCutLogged = true;
+        DecisionLog.event("answer-cut")
+                .with("request", mRequest.headers().get(mSettings.names().requestId(), ""))
+                .with("service", mService)
+                .with("reason", reason)
+                .with("admitted", mAdmitted)
+                .with("status", mStatus)
+                .with("writtenBytes", mWrittenBytes)
+                .with("leaving", mSettings.isLeaving())
+                .with("elapsedMillis", TimeUnit.NANOSECONDS.toMillis(elapsedNanos()))
+                .write();
+        mSettings.metrics().recordCut(mService, reason.split(":", 2)[0]);
+    }
+
+    /** Ends the count of the exchange; its response is written, or never will be. */
+    private void endCount() {
+        if (mCounted) {
+            mCounted = false;
+            mSettings.openExchanges().decrementAndGet();
+        }
+    }
+
+    private long elapsedNanos() {
+        return System.nanoTime() - mStartNanos;
+    }
+
     private void refuse(final ErrorCode code, final boolean notRun, final long retryAfterMillis) {
         if (mDone) {
             return;
@@ -410,10 +449,11 @@
                                 code.wireName(),
                                 outcome)
                         .getBytes(StandardCharsets.UTF_8);
+        mStatus = mSettings.names().statusOf(code, notRun);
         final FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(mSettings.names().statusOf(code, notRun)),
+                        HttpResponseStatus.valueOf(mStatus),
                         Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -434,6 +474,14 @@
 
     private void finish(final io.netty.channel.ChannelFuture written) {
         mDone = true;
+        written.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        recordCut("unwritten:" + done.cause());
+                    }
+                    endCount();
+                });
+        mKeepAlive &= !mHandler.isClosing();
         if (mKeepAlive) {
             mHandler.onExchangeDone(!mBodyDone);
             return;
