Run an exchange on the event loop of its connection

An exchange whose owner runs on another event loop than its connection wrote the connection's state from outside. When the connection was closed between the owner's check and its call to send, nobody told the exchange: it ended at its deadline (504), and held its slot as long.

send, endBody and abort now run on the connection's event loop, in the order of the calls; an exchange that starts on a closed connection fails at once. Nothing changes where owner and connection share the loop, the usual case. TargetConnectionTest.shouldFailAnExchangeThatStartsOnAClosedConnection: red before (no end within 5 s), green now.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -160,6 +160,18 @@
             final String identity,
             final boolean endOfRequest,
             final TargetResponseListener listener) {
+        runOnLoop(() -> start(request, identity, endOfRequest, listener));
+    }
+
+    private void start(
+            final HttpRequest request,
+            final String identity,
+            final boolean endOfRequest,
+            final TargetResponseListener listener) {
+        if (!mChannel.isActive()) {
+            eventLoop().execute(() -> listener.onFailure(new ClosedChannelException()));
+            return;
+        }
         mListener = listener;
         mExchangeCount++;
         if (!identity.isEmpty()) {
@@ -197,8 +209,11 @@
 
     /** Ends the request body. */
     public void endBody() {
-        mRequestSent = true;
-        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        runOnLoop(
+                () -> {
+                    mRequestSent = true;
+                    mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                });
     }
 
     /** Requests the next part of the response. */
@@ -215,8 +230,11 @@
 
     /** Aborts the exchange and closes the connection, which signals the abort to the target. */
     public void abort() {
-        mListener = null;
-        mChannel.close();
+        runOnLoop(
+                () -> {
+                    mListener = null;
+                    mChannel.close();
+                });
     }
 
     /**
@@ -228,10 +246,15 @@
      *     latest after {@value #ABORT_TIMEOUT_MILLIS} ms, when the connection is closed
      */
     public void abort(final Runnable onNoticed) {
+        runOnLoop(() -> startAbort(onNoticed));
+    }
+
+    /** Calls of one thread keep their order, on whatever event loop the exchange's owner runs. */
+    private void runOnLoop(final Runnable action) {
         if (eventLoop().inEventLoop()) {
-            startAbort(onNoticed);
+            action.run();
         } else {
-            eventLoop().execute(() -> startAbort(onNoticed));
+            eventLoop().execute(action);
         }
     }
 
--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -158,7 +158,7 @@
         mWaiting.addLast(request);
         return () -> {
             if (replaced != null) {
-                closeOnLoop(replaced);
+                replaced.abort();
             }
             request.loop()
                     .schedule(
@@ -293,7 +293,7 @@
     /** Keeps a connection idle, passes it to a request that waits, or closes it for another. */
     private Runnable keepOrPass(final TargetConnection connection) {
         if (mClosed || !mConnections.contains(connection)) {
-            return () -> closeOnLoop(connection);
+            return () -> connection.abort();
         }
         if (mWaiting.isEmpty()) {
             mIdle.addFirst(connection);
@@ -307,7 +307,7 @@
                         runOn(connection.eventLoop(), () -> waiting.onReady().accept(connection));
             }
         }
-        return () -> closeOnLoop(connection);
+        return () -> connection.abort();
     }
 
     /** Removes a connection that is closed. May run more than once for one connection. */
@@ -323,10 +323,6 @@
                 : () -> {};
     }
 
-    private static void closeOnLoop(final TargetConnection connection) {
-        runOn(connection.eventLoop(), connection::abort);
-    }
-
     private static void runOn(final EventLoop loop, final Runnable action) {
         if (loop.inEventLoop()) {
             action.run();
@@ -348,6 +344,6 @@
                     mWaiting.clear();
                 });
         waiting.forEach(TargetConnectionPool::refuseClosed);
-        idle.forEach(TargetConnectionPool::closeOnLoop);
+        idle.forEach(TargetConnection::abort);
     }
 }
--- a/src/test/java/io/bilberrylane/http/ScriptedTarget.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedTarget.java
@@ -198,6 +198,14 @@
         return acquired.get(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Sends a request without a body on a connection, from a thread that is no event loop. */
+    void sendOn(final TargetConnection connection) {
+        connection.send(
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                true,
+                new Recorder(connection));
+    }
+
     private void recordRefusal(final Throwable cause) {
         mEvents.add(cause instanceof ConnectionLimitException ? AT_LIMIT : UNREACHABLE);
     }
--- a/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
@@ -103,4 +103,16 @@
         TimeUnit.MILLISECONDS.sleep(300);
         assertThat(mTarget.hasEvents()).isFalse();
     }
+
+    // Guards against: an exchange never ends because its connection was closed, on its own event
+    // loop, just before another one started the exchange.
+    @Test
+    void shouldFailAnExchangeThatStartsOnAClosedConnection() throws Exception {
+        final TargetConnection connection = mTarget.acquire();
+        mTarget.accept().close();
+        assertThat(mTarget.remainingConnections()).isZero();
+        mTarget.sendOn(connection);
+        assertThat(mTarget.end()).isEqualTo(ScriptedTarget.BROKEN);
+        assertThat(mTarget.hasEvents()).isFalse();
+    }
 }
--- a/src/test/java/io/bilberrylane/node/ConnectionLimitTest.java
+++ b/src/test/java/io/bilberrylane/node/ConnectionLimitTest.java
@@ -95,12 +95,7 @@
     private double metric(final String name) {
         final String page =
                 SimpleHttpClient.of(mTransport)
-                        .call(
-                                mNode.node().operatorAddress(),
-                                HttpMethod.GET,
-                                "/metrics",
-                                "",
-                                2_000)
+                        .call(mNode.node().operatorAddress(), HttpMethod.GET, "/metrics", "", 2_000)
                         .join()
                         .body();
         return page.lines()
