Tell in the log which connection and exchange answered a call

The record of the users' runs could not tell a late copy that was taken for an answer from a head that was joined from two responses: run-ended named neither the connection nor the exchange on it, and call-ended not the status that was passed on. run-ended now has the call at its ingress, the connection, the number of the exchange on it and the responses skipped before the own one; call-ended has the status. One request with two run-ended lines of one connection is a repeated identity; 'the head of a response continues' in the outcome is a joined head.

With it, one hole in 'bytes left after a response': a piece that ends behind a line break has been consumed, but the decoder stands inside a message; the connection was used again and the next response did not parse (502 for a request that ran). CutSecondResponseTest now asks for the own answer where the piece comes with the first response.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -116,6 +116,34 @@
         return mExchangeCount > 1;
     }
 
+    /**
+     * Returns the number of exchanges that the connection has carried, with the current one.
+     *
+     * @return a count
+     */
+    public int exchangeCount() {
+        return mExchangeCount;
+    }
+
+    /**
+     * Returns the number of responses to other requests, and of informational ones, that were
+     * skipped in the current exchange.
+     *
+     * @return a count
+     */
+    public int skippedResponses() {
+        return mSkippedResponses;
+    }
+
+    /**
+     * Returns a short name of the connection for the log.
+     *
+     * @return a name that is unique among the connections of this process with high probability
+     */
+    public String name() {
+        return mChannel.id().asShortText();
+    }
+
     /**
      * Returns whether the connection has carried a request with an identity. A late response to
      * that request could then be taken for the response to another one with the same identity.
--- a/src/main/java/io/bilberrylane/http/TargetResponseDecoder.java
+++ b/src/main/java/io/bilberrylane/http/TargetResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
@@ -21,6 +22,7 @@
 
     private final TargetConnection mConnection;
     private int mUndecodedBytes;
+    private boolean mInMessage;
 
     TargetResponseDecoder(final TargetConnection connection) {
         super(
@@ -31,9 +33,9 @@
         mConnection = connection;
     }
 
-    /** Returns whether bytes have arrived that belong to no message yet. */
+    /** Returns whether bytes have arrived that belong to no whole message yet. */
     boolean hasUndecodedBytes() {
-        return mUndecodedBytes > 0;
+        return mUndecodedBytes > 0 || mInMessage;
     }
 
     @Override
@@ -51,8 +53,14 @@
     protected void decode(
             final ChannelHandlerContext ctx, final ByteBuf bytes, final List<Object> messages)
             throws Exception {
+        final int before = bytes.readableBytes();
         super.decode(ctx, bytes, messages);
         mUndecodedBytes = bytes.readableBytes();
+        if (!messages.isEmpty()) {
+            mInMessage = !(messages.get(messages.size() - 1) instanceof LastHttpContent);
+        } else if (mUndecodedBytes < before) {
+            mInMessage = true;
+        }
     }
 
     @Override
--- a/src/main/java/io/bilberrylane/node/CallTrail.java
+++ b/src/main/java/io/bilberrylane/node/CallTrail.java
@@ -21,12 +21,13 @@
         }
     }
 
-    /** Writes the log line of a finished call. */
+    /** Writes the log line of a finished call; the status is 0 if no response was passed on. */
     void write(
             final CallHead head,
             final Route route,
             final CallPlan plan,
             final String outcome,
+            final int status,
             final long elapsedMillis) {
         DecisionLog.event("call-ended")
                 .with("request", head.requestId())
@@ -34,6 +35,7 @@
                 .with("route", route.host() + route.pathPrefix())
                 .with("uri", head.uri())
                 .with("outcome", outcome)
+                .with("status", status)
                 .with("elapsedMillis", elapsedMillis)
                 .with("timeoutMillis", head.timeoutMillis())
                 .with("offers", plan.offers())
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -69,6 +69,8 @@
     private boolean mCancelled;
     private boolean mRunCounted;
     private int mStatus;
+    private int mExchange;
+    private int mSkippedResponses;
     private TargetLoad mLoadAtStart = TargetLoad.ABSENT;
     private final long mOpenedNanos = System.nanoTime();
     private String mLoadHeader = "";
@@ -313,6 +315,7 @@
         mStartedNanos = System.nanoTime();
         mLoadAtStart = mGate.load(mHead.route());
         mConnection.send(request(), sentId(), !mHead.hasBody(), this);
+        mExchange = mConnection.exchangeCount();
         mBufferedBody.forEach(mConnection::sendBody);
         mBufferedBody.clear();
         if (mHead.hasBody() && mBodyEnded) {
@@ -413,11 +416,13 @@
         if (!names.isResponseTo(sentId(), status, response.headers(), isReused)) {
             LOGGER.atWarning().log(
                     "response %d to call %s dropped: received on the connection of call %s, which"
-                            + " is %s",
+                            + " is %s; connection %s, exchange %d",
                     status,
                     response.headers().get(names.requestId()),
                     requestId(),
-                    isReused ? "in use again" : "new");
+                    isReused ? "in use again" : "new",
+                    mConnection.name(),
+                    mConnection.exchangeCount());
             return false;
         }
         runOnEventLoop(
@@ -432,6 +437,7 @@
     private void onResponseHead(final HttpResponse response) {
         final HeaderNames names = mGate.headerNames();
         mStatus = response.status().code();
+        mSkippedResponses = mConnection.skippedResponses();
         mLoadHeader = response.headers().get(names.load(), "");
         mGate.recordLoad(mTarget, response.headers());
         if (!names.hasRequiredSignature(mStatus, response.headers())) {
@@ -554,6 +560,10 @@
     private void logRun(final String outcome) {
         DecisionLog.event("run-ended")
                 .with("request", requestId())
+                .with("call", mHead.callId())
+                .with("connection", mConnection.name())
+                .with("exchange", mExchange)
+                .with("skippedResponses", mSkippedResponses)
                 .with("priority", mHead.priority())
                 .with("inFlight", mLoadAtStart.inFlight())
                 .with("allowance", mLoadAtStart.allowance())
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -60,7 +60,7 @@
     private boolean mRetryGranted;
     private final HeldBody mHeldBody = new HeldBody();
     private boolean mBodySent;
-    private boolean mHeadForwarded;
+    private int mForwardedStatus;
     private boolean mMayHaveRun;
     private boolean mKeyOutcomeKnown;
     private boolean mFinished;
@@ -234,7 +234,7 @@
         }
         mFinished = true;
         mHeldBody.release();
-        mTrail.write(mHead, mRoute, mPlan, outcome, elapsedMillis());
+        mTrail.write(mHead, mRoute, mPlan, outcome, mForwardedStatus, elapsedMillis());
         mDeadline.cancel(false);
         mRouter.callEnded();
         return true;
@@ -408,7 +408,7 @@
                         mDiscardingResponse = isRetryable(head, mTarget.candidate().host());
                         mMayHaveRun |= mDiscardingResponse && !head.notRun();
                         if (!mDiscardingResponse) {
-                            mHeadForwarded = true;
+                            mForwardedStatus = head.status();
                             mSink.onHead(head);
                         }
                     });
@@ -525,6 +525,10 @@
                 && mRouter.tryAcquireRetry(mHead.service());
     }
 
+    private boolean isHeadForwarded() {
+        return mForwardedStatus != 0;
+    }
+
     private void afterRefusal(final Attempt attempt, final Refusal refusal) {
         if (mFinished) {
             return;
@@ -586,10 +590,10 @@
         final boolean isResolvable =
                 code == ErrorCode.LINK_LOST && !mHead.idempotent() && !phase.isNotRun();
         mMayHaveRun |= !phase.isNotRun() && !isResolvable;
-        final boolean canRunAgain = !mBodySent && !mHeadForwarded && mPlan.canRunAgain();
+        final boolean canRunAgain = !mBodySent && !isHeadForwarded() && mPlan.canRunAgain();
         if (canRunAgain && (mHead.idempotent() || phase.isNotRun())) {
             attempt(Refusal.of(code));
-        } else if (isResolvable && !phase.isNotRun() && !mHeadForwarded) {
+        } else if (isResolvable && !phase.isNotRun() && !isHeadForwarded()) {
             queryOutcome(attempt);
         } else {
             fail(code, phase);
--- a/src/test/java/io/bilberrylane/node/CutSecondResponseTest.java
+++ b/src/test/java/io/bilberrylane/node/CutSecondResponseTest.java
@@ -83,7 +83,10 @@
                 });
     }
 
-    /** Returns the cuts after which the caller got the status of the other response. */
+    /**
+     * Returns the cuts after which the caller got anything but its own answer or, where bytes can't
+     * be told from its answer, a failure of the node.
+     */
     private List<String> wrongAnswers(final int firstStatus, final int status) throws Exception {
         final List<String> wrong = new ArrayList<>();
         mTarget.setScript(request -> request.answer("warm"));
@@ -98,7 +101,11 @@
                 }
                 final String answer = call("next-" + moment.ordinal() + "-" + cut);
                 final boolean isOwn = answer.startsWith("HTTP/1.1 " + status);
-                if (!isOwn && answer.contains(PlatformTarget.SIGNATURE) || answer.isEmpty()) {
+                final boolean isVisibleFailure =
+                        moment != Moment.WITH_THE_FIRST
+                                && answer.startsWith("HTTP/1.1 5")
+                                && !answer.contains(PlatformTarget.SIGNATURE);
+                if (!isOwn && !isVisibleFailure) {
                     wrong.add(moment + " " + cut + ": " + answer.lines().findFirst().orElse(""));
                 }
             }
