Stop the clock in DepartureStoreTest

When the machine held the test up for longer than the 0.4 s after which an acknowledgement may give up waiting, the store gave up in real time before the test's own clock said so. Nothing is asked less.

--- a/src/test/java/io/bilberrylane/node/DepartureStoreTest.java
+++ b/src/test/java/io/bilberrylane/node/DepartureStoreTest.java
@@ -28,6 +28,7 @@
         private final DepartureStore mStore;
 
         private Process(final FaultyStore platform) {
+            mChannel.freezeTime();
             final EventLoop loop = mChannel.eventLoop();
             mStore =
                     new DepartureStore(
