--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -27,6 +27,7 @@
  */
 public final class TargetConnection extends ChannelInboundHandlerAdapter {
     private static final long ABORT_TIMEOUT_MILLIS = 100;
+    private static final int SWITCHING_PROTOCOLS = 101;
 
     /** More responses that do not answer the request, such as informational ones, break it off. */
     private static final int MAX_SKIPPED_RESPONSES = 64;
@@ -116,6 +117,34 @@
         return mExchangeCount > 1;
     }
 
+    /**
+     * Returns the number of exchanges that the connection has carried, with the current one.
+     *
+     * @return a count
+     */
+    public int exchangeCount() {
+        return mExchangeCount;
+    }
+
+    /**
+     * Returns the number of responses to other requests, and of informational ones, that were
+     * skipped in the current exchange.
+     *
+     * @return a count
+     */
+    public int skippedResponses() {
+        return mSkippedResponses;
+    }
+
+    /**
+     * Returns a short name of the connection for the log.
+     *
+     * @return a name that is unique among the connections of this process with high probability
+     */
+    public String name() {
+        return mChannel.id().asShortText();
+    }
+
     /**
      * Returns whether the connection has carried a request with an identity. A late response to
      * that request could then be taken for the response to another one with the same identity.
@@ -301,6 +330,8 @@
             onResponse(ctx, response);
         } else if (message instanceof HttpContent content) {
             onContent(ctx, content);
+        } else {
+            ReferenceCountUtil.release(message);
         }
     }
 
@@ -309,10 +340,14 @@
             fail(response.decoderResult().cause());
             return;
         }
-        if (JoinedHeads.isJoined(response)) {
+        if (isJoined(response)) {
             fail(new IOException("the head of a response continues that of an earlier one"));
             return;
         }
+        if (response.status().code() == SWITCHING_PROTOCOLS) {
+            fail(new IOException("the target switches protocols, which nobody asked for"));
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingInformational = true;
             countSkipped(1, 0);
@@ -332,6 +367,21 @@
         ctx.read();
     }
 
+    /**
+     * Returns whether a head is joined from an earlier response and another one. The first exchange
+     * of a connection has no earlier response: if its head holds a status line, the target quotes
+     * status lines itself, and its responses are not judged by them any more.
+     */
+    private boolean isJoined(final HttpResponse response) {
+        if (!JoinedHeads.holdsStatusLine(response)) {
+            return false;
+        }
+        if (!isReused()) {
+            mPool.noteQuotedStatusLine();
+        }
+        return !mPool.isStatusLineQuoted();
+    }
+
     /** Returns whether the end of a response's body is told by its head. */
     private static boolean isFramed(final HttpResponse response) {
         return HttpUtil.isContentLengthSet(response)
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -69,6 +69,8 @@
     private boolean mCancelled;
     private boolean mRunCounted;
     private int mStatus;
+    private int mExchange;
+    private int mSkippedResponses;
     private TargetLoad mLoadAtStart = TargetLoad.ABSENT;
     private final long mOpenedNanos = System.nanoTime();
     private String mLoadHeader = "";
@@ -235,6 +237,10 @@
             refuseNow(mCancelled ? ErrorCode.CANCELLED : ErrorCode.DEADLINE_EXCEEDED);
             return;
         }
+        acquireConnection();
+    }
+
+    private void acquireConnection() {
         mState = State.CONNECTING;
         mTarget.pool()
                 .acquire(
@@ -264,7 +270,7 @@
     /**
      * Admits the call on a connection. A call with a body starts at its target only when the first
      * byte of the body has arrived, so that the ingress can withdraw the call until it has sent
-     * that byte.
+     * that byte. If the connection was closed while it waited, another one takes its place.
      */
     private void onConnected(final TargetConnection connection) {
         if (mCancelled || System.nanoTime() - mDeadlineNanos >= 0) {
@@ -275,10 +281,14 @@
         }
         mConnection = connection;
         mState = State.ADMITTED;
-        mDeadlineTimer =
-                mLoop.schedule(
-                        this::onDeadline, mDeadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
-        mSink.onAdmitted(mGate.load(mHead.route()));
+        if (mDeadlineTimer == null) {
+            mDeadlineTimer =
+                    mLoop.schedule(
+                            this::onDeadline,
+                            mDeadlineNanos - System.nanoTime(),
+                            TimeUnit.NANOSECONDS);
+            mSink.onAdmitted(mGate.load(mHead.route()));
+        }
         if (!mHead.hasBody() || mBodyEnded || !mBufferedBody.isEmpty()) {
             startRun();
         }
@@ -289,8 +299,7 @@
             return;
         }
         if (!mConnection.isOpen()) {
-            releaseSlot(false, 0);
-            refuseNow(ErrorCode.TARGET_UNREACHABLE);
+            acquireConnection();
             return;
         }
         if (!mGate.mayStart(mTarget)) {
@@ -313,6 +322,7 @@
         mStartedNanos = System.nanoTime();
         mLoadAtStart = mGate.load(mHead.route());
         mConnection.send(request(), sentId(), !mHead.hasBody(), this);
+        mExchange = mConnection.exchangeCount();
         mBufferedBody.forEach(mConnection::sendBody);
         mBufferedBody.clear();
         if (mHead.hasBody() && mBodyEnded) {
@@ -413,11 +423,13 @@
         if (!names.isResponseTo(sentId(), status, response.headers(), isReused)) {
             LOGGER.atWarning().log(
                     "response %d to call %s dropped: received on the connection of call %s, which"
-                            + " is %s",
+                            + " is %s; connection %s, exchange %d",
                     status,
                     response.headers().get(names.requestId()),
                     requestId(),
-                    isReused ? "in use again" : "new");
+                    isReused ? "in use again" : "new",
+                    mConnection.name(),
+                    mConnection.exchangeCount());
             return false;
         }
         runOnEventLoop(
@@ -432,6 +444,7 @@
     private void onResponseHead(final HttpResponse response) {
         final HeaderNames names = mGate.headerNames();
         mStatus = response.status().code();
+        mSkippedResponses = mConnection.skippedResponses();
         mLoadHeader = response.headers().get(names.load(), "");
         mGate.recordLoad(mTarget, response.headers());
         if (!names.hasRequiredSignature(mStatus, response.headers())) {
@@ -554,6 +567,10 @@
     private void logRun(final String outcome) {
         DecisionLog.event("run-ended")
                 .with("request", requestId())
+                .with("call", mHead.callId())
+                .with("connection", mConnection.name())
+                .with("exchange", mExchange)
+                .with("skippedResponses", mSkippedResponses)
                 .with("priority", mHead.priority())
                 .with("inFlight", mLoadAtStart.inFlight())
                 .with("allowance", mLoadAtStart.allowance())
