Bound the parts of a body on their way, not only their bytes

Report of an operator: bytes without end in a body fill the machine that called. Here the credit of a call, 64 KiB in each direction, bounds the bytes that gate, link and ingress hold of a body that its reader does not take. A body in chunks of one byte spends it one part at a time, and each part is a message, a buffer and a queue entry of its own in three places: one call had 65,536 of them on their way.

Mend: short parts that come in one read are joined (PartJoiner, beside both HTTP codecs), and at most 64 parts are on their way in one call and one direction (SentParts); no more is read from the target or the caller until credit for the first of them has come back. A call whose caller has left reads on without credit, as before, until its deadline.

Not shown: a process that ended of this; with a reader that takes nothing the sockets' buffers took most of four seconds of such parts. TargetConnectionPool changes by one line, the handler in the pipeline.

--- a/src/main/java/io/bilberrylane/http/HttpServer.java
+++ b/src/main/java/io/bilberrylane/http/HttpServer.java
@@ -159,6 +159,7 @@
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(config, handler::onHeadBytes))
                 .addLast(encoder)
+                .addLast(new PartJoiner())
                 .addLast(new OneMessagePerReadHandler())
                 .addLast(handler);
     }
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -15,6 +15,7 @@
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.peer.ResponseHead;
 import io.bilberrylane.peer.ResponseSink;
+import io.bilberrylane.peer.SentParts;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -65,6 +66,7 @@
     private long mBodyLimitBytes;
     private long mBodyReceivedBytes;
     private int mCreditBytes = CallOpener.INITIAL_CREDIT_BYTES;
+    private final SentParts mSentParts = new SentParts();
     private boolean mAdmitted;
     private boolean mBodyDone;
     private boolean mReadPending;
@@ -189,6 +191,7 @@
         }
         mCreditBytes -= length;
         if (length > 0) {
+            mSentParts.send(length);
             mBodySink.data(bytes);
         } else {
             bytes.release();
@@ -218,7 +221,7 @@
     }
 
     private void readBody() {
-        if (!mBodyDone && !mReadPending && mCreditBytes > 0) {
+        if (!mBodyDone && !mReadPending && mCreditBytes > 0 && !mSentParts.isFull()) {
             requestRead();
         }
     }
@@ -307,6 +310,7 @@
         runOnEventLoop(
                 () -> {
                     mCreditBytes += bytes;
+                    mSentParts.credit(bytes);
                     if (!mDone) {
                         readBody();
                     }
--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -159,6 +159,7 @@
                                                         MAX_LINE_BYTES,
                                                         MAX_HEAD_BYTES,
                                                         MAX_CHUNK_BYTES))
+                                        .addLast(new PartJoiner())
                                         .addLast(new OneMessagePerReadHandler())
                                         .addLast(connection);
                             }
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -15,6 +15,7 @@
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.peer.ResponseHead;
 import io.bilberrylane.peer.ResponseSink;
+import io.bilberrylane.peer.SentParts;
 import io.bilberrylane.policy.AdmissionDecision;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
@@ -64,6 +65,7 @@
     private ScheduledFuture<?> mDeadlineTimer;
     private long mStartedNanos;
     private long mResponseCreditBytes = CallOpener.INITIAL_CREDIT_BYTES;
+    private final SentParts mSentParts = new SentParts();
     private boolean mReadPending = true;
     private boolean mBodyEnded;
     private boolean mCancelled;
@@ -366,6 +368,7 @@
         runOnEventLoop(
                 () -> {
                     mResponseCreditBytes += bytes;
+                    mSentParts.credit(bytes);
                     readResponse();
                 });
     }
@@ -386,7 +389,6 @@
                 if (mHead.idempotent() || !mBodyEnded) {
                     abortRun(true);
                 } else {
-                    mResponseCreditBytes = Long.MAX_VALUE / 2;
                     readResponse();
                 }
             }
@@ -476,6 +478,7 @@
                         return;
                     }
                     mResponseCreditBytes -= bytes.readableBytes();
+                    mSentParts.send(bytes.readableBytes());
                     mReadPending = false;
                     mSink.onData(bytes);
                     readResponse();
@@ -483,7 +486,8 @@
     }
 
     private void readResponse() {
-        if (mState == State.STARTED && !mReadPending && mResponseCreditBytes > 0) {
+        final boolean maySend = mCancelled || mResponseCreditBytes > 0 && !mSentParts.isFull();
+        if (mState == State.STARTED && !mReadPending && maySend) {
             mReadPending = true;
             mConnection.read();
         }
