--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -81,6 +81,7 @@
                 .addLast(mEndOfStreamHandler)
                 .addLast(mDecoder)
                 .addLast(new HttpRequestEncoder())
+                .addLast(new PartJoiner())
                 .addLast(mMessages)
                 .addLast(this);
     }
