--- a/src/test/java/io/bilberrylane/http/AnswerCutTest.java
+++ b/src/test/java/io/bilberrylane/http/AnswerCutTest.java
@@ -101,7 +101,7 @@
             call.respondWithHead(UNWRITTEN_BYTES);
             call.respondWithBody(UNWRITTEN_BYTES);
             call.endResponse();
-            ScriptedCalls.readHead(caller);
+            mCalls.awaitEvents();
             reset(caller);
         }
         assertThat(mCalls.nextCut()).isEqualTo("unwritten");
--- a/src/test/java/io/bilberrylane/http/ScriptedCalls.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedCalls.java
@@ -130,6 +130,11 @@
         mBeforeRouting = action;
     }
 
+    /** Waits until the server has handled all events of its calls. */
+    void awaitEvents() {
+        mTransport.group().next().submit(() -> {}).syncUninterruptibly();
+    }
+
     HttpServer server() {
         return mServer;
     }
