Notice a caller that leaves while its next request waits

Cause: on a caller's connection the end is delivered only after all parts of requests before it were taken, and the rest of a waiting request is not taken while a request is in progress. The node now hears of the end from the connection itself, ends the exchange, and drops the waiting request.

PipelinedCallerTest: red before (no cut reported in 5 s), green now.

--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -47,12 +47,14 @@
     @Override
     public void channelActive(final ChannelHandlerContext ctx) {
         mCtx = ctx;
+        ctx.channel().closeFuture().addListener(done -> onConnectionEnded());
         awaitRequest();
     }
 
-    @Override
-    public void channelInactive(final ChannelHandlerContext ctx) {
+    /** Runs when the connection has ended, also while parts of further requests are queued. */
+    private void onConnectionEnded() {
         cancelTimer();
+        mPipelinedRequest = null;
         if (mExchange != null) {
             final InboundExchange exchange = mExchange;
             mExchange = null;
