Answer a request that meets an unexpected error of the node

A request on a kept connection ended with a bare close, without any bytes, when an unexpected error was thrown while the node handled it, though it may have been passed on (LOST: a connection is closed without an answer).

Cause: IngressHandler treated every error as a lost connection. A read error still is one; any other error now ends the exchange with 500, which promises nothing about a run, or breaks off a response whose head was sent, and is logged as severe. The connection is closed after that.

CallerConnectionEndTest.shouldAnswerARequestThatMeetsAnUnexpectedError: red before (no bytes came), green now. Found by reading; no such error is known.

--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -382,6 +382,18 @@
         }
     }
 
+    /** Ends the exchange after an error of the node; the request may have been passed on. */
+    void onUnexpectedError() {
+        if (mDone) {
+            return;
+        }
+        if (mBodySink != null) {
+            mBodySink.cancel();
+        }
+        mKeepAlive = false;
+        fail(ErrorCode.INVARIANT_VIOLATED, false);
+    }
+
     private void fail(final ErrorCode code, final boolean notRun) {
         if (mDone) {
             return;
--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -78,10 +78,16 @@
             }
             return;
         }
-        LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
-                "caller connection failed");
-        mEndCause = (cause instanceof IOException ? "caller-lost:" : "error:") + cause;
-        ctx.close();
+        if (cause instanceof IOException || mExchange == null) {
+            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
+                    "caller connection failed");
+            mEndCause = (cause instanceof IOException ? "caller-lost:" : "error:") + cause;
+            ctx.close();
+            return;
+        }
+        LOGGER.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
+                "a request ends with an unexpected error");
+        mExchange.onUnexpectedError();
     }
 
     /** Refuses a request whose head cannot be decoded; nothing after it is read. */
--- a/src/test/java/io/bilberrylane/http/CallerConnectionEndTest.java
+++ b/src/test/java/io/bilberrylane/http/CallerConnectionEndTest.java
@@ -119,6 +119,22 @@
         }
     }
 
+    // Guards against: a request that meets an error of the node ends with a bare close.
+    @Test
+    void shouldAnswerARequestThatMeetsAnUnexpectedError() throws Exception {
+        mCalls.beforeRouting(
+                () -> {
+                    throw new IllegalStateException("an error that the test has made");
+                });
+        try (Socket caller = mCalls.connect()) {
+            ScriptedCalls.sendRequest(caller);
+            assertThat(ScriptedCalls.readHead(caller))
+                    .startsWith("HTTP/1.1 500 ")
+                    .containsIgnoringCase("outcome: unknown")
+                    .containsIgnoringCase("connection: close");
+        }
+    }
+
     private static void await(final CountDownLatch latch) {
         try {
             assertThat(latch.await(5, TimeUnit.SECONDS)).isTrue();
