Answer the requests that a leaving node can't finish

At the end of its drain time a node closed the connections of callers whose requests were still in progress, without any bytes: "a request ended without an answer" (LOST beside a SIGTERM). That held for requests in service at a target, and for ones that no target had got, such as uploads whose body is late.

The node now ends each call before it closes: 503 as not run if no target can have received it (it is at none, or its body, with which a run begins, was not sent), otherwise 502, which promises nothing, or a visible break of a response whose head was sent. A call whose outcome is being asked for counts as sent. Waiting longer isn't possible; the process is killed at the end of the grace.

--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -430,17 +430,18 @@
         mCallerServer.refuseNewRequests();
         mTargetServer.refuseNewRequests();
         awaitIdle(startNanos, DRAIN_END_FRACTION);
+        if (isBusy()) {
+            LOGGER.atWarning().log(
+                    "drain exceeded %3$d ms: ending %1$d calls of callers and %2$d at the target",
+                    mRouter.callsInProgress(), mGate.load().inFlight(), mSettings.drainMillis());
+            mRouter.endCalls();
+        }
         mConfigurationWatcher.stop();
         mMembership.announceLeave();
         mCallerServer.closeIdle();
         mTargetServer.closeIdle();
         sleep(LEAVE_ANNOUNCEMENT_MILLIS);
         awaitConnectionsClosed();
-        if (isBusy()) {
-            LOGGER.atWarning().log(
-                    "drain exceeded %3$d ms: aborting %1$d calls of callers and %2$d at the target",
-                    mRouter.callsInProgress(), mGate.load().inFlight(), mSettings.drainMillis());
-        }
         close();
     }
 
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -63,6 +63,7 @@
     private boolean mHeadForwarded;
     private boolean mMayHaveRun;
     private boolean mKeyOutcomeKnown;
+    private boolean mOutcomePending;
     private boolean mFinished;
 
     RoutedCall(
@@ -94,7 +95,7 @@
     // -- attempts
 
     void start() {
-        mRouter.callStarted(mHead.service());
+        mRouter.callStarted(this, mHead.service());
         mDeadline =
                 mExecutor.schedule(
                         this::onDeadline,
@@ -236,7 +237,7 @@
         mHeldBody.release();
         mTrail.write(mHead, mRoute, mPlan, outcome, elapsedMillis());
         mDeadline.cancel(false);
-        mRouter.callEnded();
+        mRouter.callEnded(this);
         return true;
     }
 
@@ -254,6 +255,30 @@
         fail(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
     }
 
+    /**
+     * Ends the call because the node ends. It is refused as not run only if no target can have
+     * received it: it is at none, or its body, with which a run begins, was not sent.
+     */
+    void endWithNode() {
+        mExecutor.execute(
+                () -> {
+                    if (mFinished) {
+                        return;
+                    }
+                    addToTrail("node-ends");
+                    final boolean isOffered = mAttempt != null && !mAttempt.mClosed;
+                    if (isOffered) {
+                        mAttempt.close();
+                        mAttempt.mBody.cancel();
+                    }
+                    if (mOutcomePending || isOffered && !(mHead.hasBody() && !mBodySent)) {
+                        fail(ErrorCode.LEAVING, CallPhase.STARTED);
+                    } else {
+                        refuse(Refusal.of(ErrorCode.LEAVING));
+                    }
+                });
+    }
+
     // -- events from the caller
 
     @Override
@@ -597,6 +622,7 @@
     }
 
     private void queryOutcome(final Attempt attempt) {
+        mOutcomePending = true;
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
                 "link lost during call %s; querying its outcome from the gate", attempt.mCallId);
         mRouter.resolveOutcome(
@@ -610,6 +636,7 @@
         if (mFinished) {
             return;
         }
+        mOutcomePending = false;
         addToTrail("outcome/" + phase);
         mMayHaveRun |= !phase.isNotRun();
         if (phase.isNotRun() && !mBodySent && mPlan.canRunAgain()) {
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -28,7 +28,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -46,7 +47,7 @@
     private final LoadTable mLoads = LoadTable.empty();
     private final TargetSelector mSelector;
     private final AtomicLong mNextCall = new AtomicLong();
-    private final AtomicInteger mCallsInProgress = new AtomicInteger();
+    private final Set<RoutedCall> mCallsInProgress = ConcurrentHashMap.newKeySet();
     private final RetryBudget mRetryBudget = RetryBudget.create();
     private final Supplier<FleetBounds> mBounds;
     private final Map<String, String> mRegions;
@@ -181,8 +182,8 @@
         return mLeaving;
     }
 
-    void callStarted(final String service) {
-        mCallsInProgress.incrementAndGet();
+    void callStarted(final RoutedCall call, final String service) {
+        mCallsInProgress.add(call);
         final double repeatProbability = mGate.repeatProbability();
         mLock.run(
                 () ->
@@ -226,8 +227,8 @@
                                 service, mBounds.get(), ingressCount, System.nanoTime()));
     }
 
-    void callEnded() {
-        mCallsInProgress.decrementAndGet();
+    void callEnded(final RoutedCall call) {
+        mCallsInProgress.remove(call);
     }
 
     /**
@@ -236,7 +237,12 @@
      * @return the number of calls
      */
     public int callsInProgress() {
-        return mCallsInProgress.get();
+        return mCallsInProgress.size();
+    }
+
+    /** Ends all calls in progress with a failure or a refusal, because the node ends. */
+    void endCalls() {
+        mCallsInProgress.forEach(RoutedCall::endWithNode);
     }
 
     // -- load feedback
