End a probe whose answer is longer than an answer to a probe

A probe read the body of its answer at full speed until its time was up, 150 ms, and threw it away: more than 32 MiB for each probe, in the only event loop of the node, while calls of others wait. The bytes were not kept.

Mend: after 16 KiB of a body the connection is closed, the probe counts as failed, and one line a second says so. All that a probe asks for is in the head, which the connection bounds.

--- a/src/main/java/io/bilberrylane/node/TargetProber.java
+++ b/src/main/java/io/bilberrylane/node/TargetProber.java
@@ -26,6 +26,9 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long TIMEOUT_MILLIS = 150;
 
+    /** What a probe asks for is in the head of its answer. */
+    private static final int MAX_BODY_BYTES = 16 * 1024;
+
     /** Keeps the rate of probes below half of the rate that a target may receive. */
     private static final long MIN_INTERVAL_NANOS = 20_000_000L;
 
@@ -91,6 +94,7 @@
         private TargetConnection mConnection;
         private ScheduledFuture<?> mTimeout;
         private boolean mEnded;
+        private int mBodyBytes;
 
         private Probe(final Runnable onDone) {
             mOnDone = onDone;
@@ -147,8 +151,17 @@
 
         @Override
         public void onContent(final ByteBuf bytes) {
+            mBodyBytes += bytes.readableBytes();
             bytes.release();
-            mConnection.read();
+            if (mBodyBytes <= MAX_BODY_BYTES) {
+                mConnection.read();
+                return;
+            }
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "probe of target %s ended: its answer has more than %d bytes",
+                    mTargetId, MAX_BODY_BYTES);
+            mConnection.abort();
+            end(false);
         }
 
         @Override
--- a/src/test/java/io/bilberrylane/node/PlatformNode.java
+++ b/src/test/java/io/bilberrylane/node/PlatformNode.java
@@ -46,13 +46,14 @@
     private final String mTargetAddress;
     private final Node mNode;
 
-    private PlatformNode(final PlatformTarget target) throws IOException {
+    private PlatformNode(final PlatformTarget target, final String configuration)
+            throws IOException {
         final PlatformStandIn platform =
                 mCloser.add(
                         PlatformStandIn.start(mTransport, Fleet.loopback(), PlatformFaults.NONE));
         mPlatform = URI.create("http://127.0.0.1:" + platform.address().getPort());
         PlatformClient.of(mTransport, mPlatform, 2_000)
-                .create("config", "main", new ObjectMapper().readTree(CONFIGURATION))
+                .create("config", "main", new ObjectMapper().readTree(configuration))
                 .join();
         mNode = startNode("node-1");
         mTargetAddress = target.address();
@@ -91,7 +92,15 @@
     }
 
     static PlatformNode beside(final PlatformTarget target) throws IOException {
-        return new PlatformNode(target);
+        return new PlatformNode(target, CONFIGURATION);
+    }
+
+    /** Starts a node that probes the target; a probe has no X-Request-Id. */
+    static PlatformNode probing(final PlatformTarget target) throws IOException {
+        return new PlatformNode(
+                target,
+                CONFIGURATION.replace(
+                        "\"name\":\"desk\"", "\"name\":\"desk\",\"healthPath\":\"/health\""));
     }
 
     /** Sends a heartbeat of the target with a state and a sequence number from 2. */
