Cut what a target sends before it is logged

The queue of the log holds 2,048 lines, of any length: the line of each run has the target's load field, and the line of a dropped response its identity, each as long as a head may be (64 KiB). A target that fills them, 64 dropped responses for each call, could fill the process while the log is written more slowly.

Mend: texts from elsewhere are cut to 1,000 characters in log lines.

Red without the mend: LongFieldTest 2 of 2 (lines longer than 4,000 characters, for fields of 15,000). Not shown: a process that ended of this.

--- a/src/main/java/io/bilberrylane/base/DecisionLog.java
+++ b/src/main/java/io/bilberrylane/base/DecisionLog.java
@@ -16,6 +16,9 @@
 public final class DecisionLog {
     private static final Logger LOGGER = LoggerFactory.getLogger("decision");
 
+    /** A queue of lines has a bounded length only if each line has. */
+    private static final int MAX_TEXT_CHARS = 1_000;
+
     private DecisionLog() {}
 
     /**
@@ -28,6 +31,18 @@
         return new Line(Objects.requireNonNull(event, "event is null"));
     }
 
+    /**
+     * Returns the beginning of a text that comes from elsewhere, for a log line.
+     *
+     * @param text the text, or null
+     * @return at most the first {@value #MAX_TEXT_CHARS} characters, or null
+     */
+    public static String shortened(final String text) {
+        return text == null || text.length() <= MAX_TEXT_CHARS
+                ? text
+                : text.substring(0, MAX_TEXT_CHARS);
+    }
+
     /** A builder for one log line. Not thread-safe. */
     public static final class Line {
         private final String mEvent;
@@ -45,7 +60,7 @@
          * @return this line
          */
         public Line with(final String name, final Object value) {
-            mFields.add(keyValue(name, value));
+            mFields.add(keyValue(name, value instanceof String text ? shortened(text) : value));
             return this;
         }
 
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -416,8 +416,8 @@
                     "response %d to call %s dropped: received on the connection of call %s, which"
                             + " is %s",
                     status,
-                    response.headers().get(names.requestId()),
-                    requestId(),
+                    DecisionLog.shortened(response.headers().get(names.requestId())),
+                    DecisionLog.shortened(requestId()),
                     isReused ? "in use again" : "new");
             return false;
         }
--- a/src/main/java/io/bilberrylane/node/TargetProber.java
+++ b/src/main/java/io/bilberrylane/node/TargetProber.java
@@ -1,6 +1,7 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.TargetConnection;
 import io.bilberrylane.http.TargetConnectionPool;
@@ -137,12 +138,13 @@
             if (response.headers().contains(names.requestId())) {
                 LOGGER.atWarning().log(
                         "response to call %s dropped: received on the connection of a probe",
-                        response.headers().get(names.requestId()));
+                        DecisionLog.shortened(response.headers().get(names.requestId())));
                 return false;
             }
             final String id = response.headers().get(names.responseTargetId());
             if (id != null && !mTargetId.isEmpty() && !id.equals(mTargetId)) {
-                LOGGER.atInfo().log("target %s was replaced by %s", mTargetId, id);
+                LOGGER.atInfo().log(
+                        "target %s was replaced by %s", mTargetId, DecisionLog.shortened(id));
                 return true;
             }
             mGate.recordProbeResponse(mAdmission, response.headers());
