Wait for the freed connection in a test instead of for a fixed time

ConnectionLimitTest.shouldServeAgainWhenAConnectionIsFree failed once in a whole run of bin/test on a machine with a load of 20 to 34 on 8 cores: 503 instead of 200. The test slept 100 ms after it let the target's threads answer; no run had ended by then. 30 of 30 repeats passed at that load, the slowest thread woke after 60 ms, so it is the pause, not the pool.

The test now waits until the gate counts no connection in use, a second at most, and then asks for the same answer. It still fails if a connection is not free by then.

--- a/src/test/java/io/bilberrylane/node/ConnectionLimitTest.java
+++ b/src/test/java/io/bilberrylane/node/ConnectionLimitTest.java
@@ -25,6 +25,7 @@
     private static final int LIMIT = 3;
     private static final int DEADLINE_MILLIS = 500;
     private static final int PAUSE_MILLIS = 100;
+    private static final long FREE_WITHIN_NANOS = 1_000_000_000L;
 
     private final Transport mTransport = Transport.of(1);
     private final CountDownLatch mEnd = new CountDownLatch(1);
@@ -136,7 +137,11 @@
         holdEveryConnection();
         refuseAtTheLimit();
         mEnd.countDown();
-        TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        final long startNanos = System.nanoTime();
+        while (mNode.node().openCounts().connectionsInUse() > 0
+                && System.nanoTime() - startNanos < FREE_WITHIN_NANOS) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
         assertThat(mNode.exchange(PlatformNode.request("POST", "/unsafe/b", "b")))
                 .startsWith("HTTP/1.1 200");
     }
