--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -15,6 +15,7 @@
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.peer.ResponseHead;
 import io.bilberrylane.peer.ResponseSink;
+import io.bilberrylane.peer.SentParts;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -63,6 +64,7 @@
     private long mBodyLimitBytes;
     private long mBodyReceivedBytes;
     private int mCreditBytes = CallOpener.INITIAL_CREDIT_BYTES;
+    private final SentParts mSentParts = new SentParts();
     private boolean mAdmitted;
     private boolean mBodyDone;
     private boolean mReadPending;
@@ -192,6 +194,7 @@
         }
         mCreditBytes -= length;
         if (length > 0) {
+            mSentParts.send(length);
             mBodySink.data(bytes);
         } else {
             bytes.release();
@@ -228,7 +231,7 @@
     }
 
     private void readBody() {
-        if (!mBodyDone && !mReadPending && mCreditBytes > 0) {
+        if (!mBodyDone && !mReadPending && mCreditBytes > 0 && !mSentParts.isFull()) {
             requestRead();
         }
     }
@@ -316,6 +319,7 @@
         runOnEventLoop(
                 () -> {
                     mCreditBytes += bytes;
+                    mSentParts.credit(bytes);
                     if (!mDone) {
                         readBody();
                     }
@@ -382,6 +386,18 @@
         }
     }
 
+    /** Ends the exchange after an error of the node; the request may have been passed on. */
+    void onUnexpectedError() {
+        if (mDone) {
+            return;
+        }
+        if (mBodySink != null) {
+            mBodySink.cancel();
+        }
+        mKeepAlive = false;
+        fail(ErrorCode.INVARIANT_VIOLATED, false);
+    }
+
     private void fail(final ErrorCode code, final boolean notRun) {
         if (mDone) {
             return;
--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -27,6 +27,7 @@
  */
 public final class TargetConnection extends ChannelInboundHandlerAdapter {
     private static final long ABORT_TIMEOUT_MILLIS = 100;
+    private static final int SWITCHING_PROTOCOLS = 101;
 
     /** More responses that do not answer the request, such as informational ones, break it off. */
     private static final int MAX_SKIPPED_RESPONSES = 64;
@@ -80,6 +81,7 @@
                 .addLast(mEndOfStreamHandler)
                 .addLast(mDecoder)
                 .addLast(new HttpRequestEncoder())
+                .addLast(new PartJoiner())
                 .addLast(mMessages)
                 .addLast(this);
     }
@@ -116,6 +118,34 @@
         return mExchangeCount > 1;
     }
 
+    /**
+     * Returns the number of exchanges that the connection has carried, with the current one.
+     *
+     * @return a count
+     */
+    public int exchangeCount() {
+        return mExchangeCount;
+    }
+
+    /**
+     * Returns the number of responses to other requests, and of informational ones, that were
+     * skipped in the current exchange.
+     *
+     * @return a count
+     */
+    public int skippedResponses() {
+        return mSkippedResponses;
+    }
+
+    /**
+     * Returns a short name of the connection for the log.
+     *
+     * @return a name that is unique among the connections of this process with high probability
+     */
+    public String name() {
+        return mChannel.id().asShortText();
+    }
+
     /**
      * Returns whether the connection has carried a request with an identity. A late response to
      * that request could then be taken for the response to another one with the same identity.
@@ -301,16 +331,26 @@
             onResponse(ctx, response);
         } else if (message instanceof HttpContent content) {
             onContent(ctx, content);
+        } else {
+            ReferenceCountUtil.release(message);
         }
     }
 
     private void onResponse(final ChannelHandlerContext ctx, final HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            fail(response.decoderResult().cause());
+            fail(new RejectedResponseException(response.decoderResult().cause()));
             return;
         }
-        if (JoinedHeads.isJoined(response)) {
-            fail(new IOException("the head of a response continues that of an earlier one"));
+        if (isJoined(response)) {
+            fail(
+                    new RejectedResponseException(
+                            "the head of a response continues that of an earlier one"));
+            return;
+        }
+        if (response.status().code() == SWITCHING_PROTOCOLS) {
+            fail(
+                    new RejectedResponseException(
+                            "the target switches protocols, which nobody asked for"));
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -332,6 +372,24 @@
         ctx.read();
     }
 
+    /**
+     * Returns whether a head is joined from an earlier response and another one. The first exchange
+     * of a connection has no earlier response: a target whose heads hold status lines there quotes
+     * them itself, and its fields are not judged by them any more.
+     */
+    private boolean isJoined(final HttpResponse response) {
+        if (JoinedHeads.isInReason(response)) {
+            return true;
+        }
+        if (!JoinedHeads.isInField(response)) {
+            return false;
+        }
+        if (!isReused()) {
+            mPool.countQuotedStatusLine();
+        }
+        return !mPool.isStatusLineQuoted();
+    }
+
     /** Returns whether the end of a response's body is told by its head. */
     private static boolean isFramed(final HttpResponse response) {
         return HttpUtil.isContentLengthSet(response)
@@ -343,14 +401,16 @@
         mSkippedResponses += responses;
         mSkippedBytes += bytes;
         if (mSkippedResponses > MAX_SKIPPED_RESPONSES || mSkippedBytes > MAX_SKIPPED_BYTES) {
-            fail(new IOException("too many responses that do not belong to the request"));
+            fail(
+                    new RejectedResponseException(
+                            "too many responses that do not belong to the request"));
         }
     }
 
     private void onContent(final ChannelHandlerContext ctx, final HttpContent content) {
         if (content.decoderResult().isFailure()) {
             content.release();
-            fail(content.decoderResult().cause());
+            fail(new RejectedResponseException(content.decoderResult().cause()));
             return;
         }
         final boolean last = content instanceof LastHttpContent;
--- a/src/main/java/io/bilberrylane/node/GateCall.java
+++ b/src/main/java/io/bilberrylane/node/GateCall.java
@@ -3,8 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import io.bilberrylane.base.DecisionLog;
 import io.bilberrylane.base.ErrorCode;
+import io.bilberrylane.http.ConnectionLimitException;
 import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.Headers;
+import io.bilberrylane.http.RejectedResponseException;
 import io.bilberrylane.http.TargetConnection;
 import io.bilberrylane.http.TargetResponseListener;
 import io.bilberrylane.outcome.CallPhase;
@@ -15,6 +17,7 @@
 import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.peer.ResponseHead;
 import io.bilberrylane.peer.ResponseSink;
+import io.bilberrylane.peer.SentParts;
 import io.bilberrylane.policy.AdmissionDecision;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.buffer.ByteBuf;
@@ -64,11 +67,14 @@
     private ScheduledFuture<?> mDeadlineTimer;
     private long mStartedNanos;
     private long mResponseCreditBytes = CallOpener.INITIAL_CREDIT_BYTES;
+    private final SentParts mSentParts = new SentParts();
     private boolean mReadPending = true;
     private boolean mBodyEnded;
     private boolean mCancelled;
     private boolean mRunCounted;
     private int mStatus;
+    private int mExchange;
+    private int mSkippedResponses;
     private TargetLoad mLoadAtStart = TargetLoad.ABSENT;
     private final long mOpenedNanos = System.nanoTime();
     private String mLoadHeader = "";
@@ -235,6 +241,10 @@
             refuseNow(mCancelled ? ErrorCode.CANCELLED : ErrorCode.DEADLINE_EXCEEDED);
             return;
         }
+        acquireConnection();
+    }
+
+    private void acquireConnection() {
         mState = State.CONNECTING;
         mTarget.pool()
                 .acquire(
@@ -246,7 +256,9 @@
     }
 
     private long maxIdleNanos() {
-        if (mGate.headerNames().needsNewConnection(sentId())) {
+        // A late response to another method would be read as one without a body.
+        final boolean isHead = mHead.method().equals("HEAD");
+        if (isHead || mGate.headerNames().needsNewConnection(sentId())) {
             return 0;
         }
         return mHead.idempotent()
@@ -256,7 +268,8 @@
 
     private void onConnectFailed(final Throwable cause) {
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("target unreachable: %s", cause);
-        releaseSlot(false, 0);
+        final boolean isAtLimit = cause instanceof ConnectionLimitException;
+        releaseSlot(isAtLimit, isAtLimit ? -1 : 0);
         refuseNow(ErrorCode.TARGET_UNREACHABLE);
         mGate.onConnectFailed(mTarget, cause);
     }
@@ -264,7 +277,7 @@
     /**
      * Admits the call on a connection. A call with a body starts at its target only when the first
      * byte of the body has arrived, so that the ingress can withdraw the call until it has sent
-     * that byte.
+     * that byte. If the connection was closed while it waited, another one takes its place.
      */
     private void onConnected(final TargetConnection connection) {
         if (mCancelled || System.nanoTime() - mDeadlineNanos >= 0) {
@@ -275,10 +288,14 @@
         }
         mConnection = connection;
         mState = State.ADMITTED;
-        mDeadlineTimer =
-                mLoop.schedule(
-                        this::onDeadline, mDeadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
-        mSink.onAdmitted(mGate.load(mHead.route()));
+        if (mDeadlineTimer == null) {
+            mDeadlineTimer =
+                    mLoop.schedule(
+                            this::onDeadline,
+                            mDeadlineNanos - System.nanoTime(),
+                            TimeUnit.NANOSECONDS);
+            mSink.onAdmitted(mGate.load(mHead.route()));
+        }
         if (!mHead.hasBody() || mBodyEnded || !mBufferedBody.isEmpty()) {
             startRun();
         }
@@ -289,8 +306,7 @@
             return;
         }
         if (!mConnection.isOpen()) {
-            releaseSlot(false, 0);
-            refuseNow(ErrorCode.TARGET_UNREACHABLE);
+            acquireConnection();
             return;
         }
         if (!mGate.mayStart(mTarget)) {
@@ -313,6 +329,7 @@
         mStartedNanos = System.nanoTime();
         mLoadAtStart = mGate.load(mHead.route());
         mConnection.send(request(), sentId(), !mHead.hasBody(), this);
+        mExchange = mConnection.exchangeCount();
         mBufferedBody.forEach(mConnection::sendBody);
         mBufferedBody.clear();
         if (mHead.hasBody() && mBodyEnded) {
@@ -367,6 +384,7 @@
         runOnEventLoop(
                 () -> {
                     mResponseCreditBytes += bytes;
+                    mSentParts.credit(bytes);
                     readResponse();
                 });
     }
@@ -387,7 +405,6 @@
                 if (mHead.idempotent() || !mBodyEnded) {
                     abortRun(true);
                 } else {
-                    mResponseCreditBytes = Long.MAX_VALUE / 2;
                     readResponse();
                 }
             }
@@ -413,11 +430,13 @@
         if (!names.isResponseTo(sentId(), status, response.headers(), isReused)) {
             LOGGER.atWarning().log(
                     "response %d to call %s dropped: received on the connection of call %s, which"
-                            + " is %s",
+                            + " is %s; connection %s, exchange %d",
                     status,
-                    response.headers().get(names.requestId()),
-                    requestId(),
-                    isReused ? "in use again" : "new");
+                    DecisionLog.shortened(response.headers().get(names.requestId())),
+                    DecisionLog.shortened(requestId()),
+                    isReused ? "in use again" : "new",
+                    mConnection.name(),
+                    mConnection.exchangeCount());
             return false;
         }
         runOnEventLoop(
@@ -432,6 +451,7 @@
     private void onResponseHead(final HttpResponse response) {
         final HeaderNames names = mGate.headerNames();
         mStatus = response.status().code();
+        mSkippedResponses = mConnection.skippedResponses();
         mLoadHeader = response.headers().get(names.load(), "");
         mGate.recordLoad(mTarget, response.headers());
         if (!names.hasRequiredSignature(mStatus, response.headers())) {
@@ -477,6 +497,7 @@
                         return;
                     }
                     mResponseCreditBytes -= bytes.readableBytes();
+                    mSentParts.send(bytes.readableBytes());
                     mReadPending = false;
                     mSink.onData(bytes);
                     readResponse();
@@ -484,7 +505,8 @@
     }
 
     private void readResponse() {
-        if (mState == State.STARTED && !mReadPending && mResponseCreditBytes > 0) {
+        final boolean maySend = mCancelled || mResponseCreditBytes > 0 && !mSentParts.isFull();
+        if (mState == State.STARTED && !mReadPending && maySend) {
             mReadPending = true;
             mConnection.read();
         }
@@ -518,7 +540,7 @@
                     close();
                     logRun("broken:" + cause);
                     mGate.markFinished(mHead.callId());
-                    if (mStatus == 0) {
+                    if (mStatus == 0 && !(cause instanceof RejectedResponseException)) {
                         mGate.onConnectionBroken(mHead, mTarget);
                     }
                     mKeyedRun.ifPresent(KeyedRun::markOutcomeUnknown);
@@ -554,6 +576,10 @@
     private void logRun(final String outcome) {
         DecisionLog.event("run-ended")
                 .with("request", requestId())
+                .with("call", mHead.callId())
+                .with("connection", mConnection.name())
+                .with("exchange", mExchange)
+                .with("skippedResponses", mSkippedResponses)
                 .with("priority", mHead.priority())
                 .with("inFlight", mLoadAtStart.inFlight())
                 .with("allowance", mLoadAtStart.allowance())
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -60,9 +60,10 @@
     private boolean mRetryGranted;
     private final HeldBody mHeldBody = new HeldBody();
     private boolean mBodySent;
-    private boolean mHeadForwarded;
+    private int mForwardedStatus;
     private boolean mMayHaveRun;
     private boolean mKeyOutcomeKnown;
+    private boolean mOutcomePending;
     private boolean mFinished;
 
     RoutedCall(
@@ -94,7 +95,7 @@
     // -- attempts
 
     void start() {
-        mRouter.callStarted(mHead.service());
+        mRouter.callStarted(this, mHead.service());
         mDeadline =
                 mExecutor.schedule(
                         this::onDeadline,
@@ -234,9 +235,9 @@
         }
         mFinished = true;
         mHeldBody.release();
-        mTrail.write(mHead, mRoute, mPlan, outcome, elapsedMillis());
+        mTrail.write(mHead, mRoute, mPlan, outcome, mForwardedStatus, elapsedMillis());
         mDeadline.cancel(false);
-        mRouter.callEnded();
+        mRouter.callEnded(this);
         return true;
     }
 
@@ -254,6 +255,30 @@
         fail(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
     }
 
+    /**
+     * Ends the call because the node ends. It is refused as not run only if no target can have
+     * received it: it is at none, or its body, with which a run begins, was not sent.
+     */
+    void endWithNode() {
+        mExecutor.execute(
+                () -> {
+                    if (mFinished) {
+                        return;
+                    }
+                    addToTrail("node-ends");
+                    final boolean isOffered = mAttempt != null && !mAttempt.mClosed;
+                    if (isOffered) {
+                        mAttempt.close();
+                        mAttempt.mBody.cancel();
+                    }
+                    if (mOutcomePending || isOffered && !(mHead.hasBody() && !mBodySent)) {
+                        fail(ErrorCode.LEAVING, CallPhase.STARTED);
+                    } else {
+                        refuse(Refusal.of(ErrorCode.LEAVING));
+                    }
+                });
+    }
+
     // -- events from the caller
 
     @Override
@@ -408,7 +433,7 @@
                         mDiscardingResponse = isRetryable(head, mTarget.candidate().host());
                         mMayHaveRun |= mDiscardingResponse && !head.notRun();
                         if (!mDiscardingResponse) {
-                            mHeadForwarded = true;
+                            mForwardedStatus = head.status();
                             mSink.onHead(head);
                         }
                     });
@@ -525,6 +550,10 @@
                 && mRouter.tryAcquireRetry(mHead.service());
     }
 
+    private boolean isHeadForwarded() {
+        return mForwardedStatus != 0;
+    }
+
     private void afterRefusal(final Attempt attempt, final Refusal refusal) {
         if (mFinished) {
             return;
@@ -586,10 +615,10 @@
         final boolean isResolvable =
                 code == ErrorCode.LINK_LOST && !mHead.idempotent() && !phase.isNotRun();
         mMayHaveRun |= !phase.isNotRun() && !isResolvable;
-        final boolean canRunAgain = !mBodySent && !mHeadForwarded && mPlan.canRunAgain();
+        final boolean canRunAgain = !mBodySent && !isHeadForwarded() && mPlan.canRunAgain();
         if (canRunAgain && (mHead.idempotent() || phase.isNotRun())) {
             attempt(Refusal.of(code));
-        } else if (isResolvable && !phase.isNotRun() && !mHeadForwarded) {
+        } else if (isResolvable && !phase.isNotRun() && !isHeadForwarded()) {
             queryOutcome(attempt);
         } else {
             fail(code, phase);
@@ -597,6 +626,7 @@
     }
 
     private void queryOutcome(final Attempt attempt) {
+        mOutcomePending = true;
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
                 "link lost during call %s; querying its outcome from the gate", attempt.mCallId);
         mRouter.resolveOutcome(
@@ -610,6 +640,7 @@
         if (mFinished) {
             return;
         }
+        mOutcomePending = false;
         addToTrail("outcome/" + phase);
         mMayHaveRun |= !phase.isNotRun();
         if (phase.isNotRun() && !mBodySent && mPlan.canRunAgain()) {
--- a/src/main/java/io/bilberrylane/node/TargetProber.java
+++ b/src/main/java/io/bilberrylane/node/TargetProber.java
@@ -1,6 +1,8 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.bilberrylane.base.DecisionLog;
+import io.bilberrylane.http.ConnectionLimitException;
 import io.bilberrylane.http.HeaderNames;
 import io.bilberrylane.http.TargetConnection;
 import io.bilberrylane.http.TargetConnectionPool;
@@ -26,6 +28,9 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long TIMEOUT_MILLIS = 150;
 
+    /** What a probe asks for is in the head of its answer. */
+    private static final int MAX_BODY_BYTES = 16 * 1024;
+
     /** Keeps the rate of probes below half of the rate that a target may receive. */
     private static final long MIN_INTERVAL_NANOS = 20_000_000L;
 
@@ -82,7 +87,7 @@
                 mLoop,
                 MAX_IDLE_NANOS,
                 connection -> probe.start(connection, path),
-                cause -> probe.end(false));
+                cause -> probe.end(cause instanceof ConnectionLimitException));
     }
 
     /** One probe and the receiver of its response. */
@@ -91,6 +96,7 @@
         private TargetConnection mConnection;
         private ScheduledFuture<?> mTimeout;
         private boolean mEnded;
+        private int mBodyBytes;
 
         private Probe(final Runnable onDone) {
             mOnDone = onDone;
@@ -133,12 +139,13 @@
             if (response.headers().contains(names.requestId())) {
                 LOGGER.atWarning().log(
                         "response to call %s dropped: received on the connection of a probe",
-                        response.headers().get(names.requestId()));
+                        DecisionLog.shortened(response.headers().get(names.requestId())));
                 return false;
             }
             final String id = response.headers().get(names.responseTargetId());
             if (id != null && !mTargetId.isEmpty() && !id.equals(mTargetId)) {
-                LOGGER.atInfo().log("target %s was replaced by %s", mTargetId, id);
+                LOGGER.atInfo().log(
+                        "target %s was replaced by %s", mTargetId, DecisionLog.shortened(id));
                 return true;
             }
             mGate.recordProbeResponse(mAdmission, response.headers());
@@ -147,8 +154,17 @@
 
         @Override
         public void onContent(final ByteBuf bytes) {
+            mBodyBytes += bytes.readableBytes();
             bytes.release();
-            mConnection.read();
+            if (mBodyBytes <= MAX_BODY_BYTES) {
+                mConnection.read();
+                return;
+            }
+            LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "probe of target %s ended: its answer has more than %d bytes",
+                    mTargetId, MAX_BODY_BYTES);
+            mConnection.abort();
+            end(false);
         }
 
         @Override
--- a/src/test/java/io/bilberrylane/node/PlatformNode.java
+++ b/src/test/java/io/bilberrylane/node/PlatformNode.java
@@ -48,16 +48,14 @@
 
     private static final int MAX_CONNECTIONS = 220;
 
-    private PlatformNode(final PlatformTarget target, final int maxConnections) throws IOException {
+    private PlatformNode(final PlatformTarget target, final String configuration)
+            throws IOException {
         final PlatformStandIn platform =
                 mCloser.add(
                         PlatformStandIn.start(mTransport, Fleet.loopback(), PlatformFaults.NONE));
         mPlatform = URI.create("http://127.0.0.1:" + platform.address().getPort());
         PlatformClient.of(mTransport, mPlatform, 2_000)
-                .create(
-                        "config",
-                        "main",
-                        new ObjectMapper().readTree(CONFIGURATION.formatted(maxConnections)))
+                .create("config", "main", new ObjectMapper().readTree(configuration))
                 .join();
         mNode = startNode("node-1");
         mTargetAddress = target.address();
@@ -103,7 +101,18 @@
     /** Starts a node whose target accepts so many connections. */
     static PlatformNode beside(final PlatformTarget target, final int maxConnections)
             throws IOException {
-        return new PlatformNode(target, maxConnections);
+        return new PlatformNode(target, CONFIGURATION.formatted(maxConnections));
+    }
+
+    /** Starts a node that probes the target; a probe has no X-Request-Id. */
+    static PlatformNode probing(final PlatformTarget target) throws IOException {
+        return new PlatformNode(
+                target,
+                CONFIGURATION
+                        .formatted(MAX_CONNECTIONS)
+                        .replace(
+                                "\"name\":\"desk\"",
+                                "\"name\":\"desk\",\"healthPath\":\"/health\""));
     }
 
     /** Sends a heartbeat of the target with a state and a sequence number from 2. */
