--- a/src/test/java/io/bilberrylane/http/ScriptedCalls.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedCalls.java
@@ -6,7 +6,9 @@
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.peer.BodySink;
+import io.bilberrylane.peer.CallHead;
 import io.bilberrylane.peer.HeaderField;
+import io.bilberrylane.peer.Refusal;
 import io.bilberrylane.peer.ResponseHead;
 import io.bilberrylane.peer.ResponseSink;
 import io.bilberrylane.policy.TargetLoad;
@@ -17,9 +19,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -52,7 +54,7 @@
                         () -> catalogue,
                         (route, head, executor, sink) -> {
                             mBeforeRouting.run();
-                            final Call call = new Call(sink);
+                            final Call call = new Call(head, sink);
                             mCalls.add(call);
                             return call;
                         },
@@ -68,9 +70,22 @@
     /** One call; the test sends the events of its response. */
     static final class Call implements BodySink {
         private final ResponseSink mSink;
+        private final CountDownLatch mRequestEnd;
 
-        private Call(final ResponseSink sink) {
+        private Call(final CallHead head, final ResponseSink sink) {
             mSink = sink;
+            mRequestEnd = new CountDownLatch(head.hasBody() ? 1 : 0);
+        }
+
+        void admitAndAwaitRequest() throws InterruptedException {
+            mSink.onAdmitted(TargetLoad.ABSENT);
+            if (!mRequestEnd.await(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+                throw new AssertionError("the request was not read to its end");
+            }
+        }
+
+        void refuse(final Refusal refusal) {
+            mSink.onRefused(refusal, TargetLoad.ABSENT);
         }
 
         void respondWithHead(final int bodyBytes) {
@@ -100,7 +115,7 @@
 
         @Override
         public void end() {
-            // The test ends the call.
+            mRequestEnd.countDown();
         }
 
         @Override
@@ -116,8 +131,11 @@
 
     /** Returns the next call that the server has routed; fails if there is none. */
     Call nextCall() throws InterruptedException {
-        return Objects.requireNonNull(
-                mCalls.poll(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS), "no call was routed");
+        final Call call = mCalls.poll(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (call == null) {
+            throw new AssertionError("no call was routed");
+        }
+        return call;
     }
 
     /** Returns whether another call is routed within a moment. */
