Let three tests of waiting requests wait as long as a slow machine needs

The three tests in which a place becomes free now use a pool whose requests wait for 4 s; that a request waits 50 ms at most, and that it is refused then, is asked by the others as before.

--- a/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnectionPool.java
@@ -40,6 +40,7 @@
 
     private final Transport mTransport;
     private final TargetPoolSettings mSettings;
+    private final long mMaxWaitMillis;
     private final RankedLock mLock = RankedLock.of(LockRank.TARGET_POOL);
     private final Set<TargetConnection> mConnections = new HashSet<>();
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
@@ -49,9 +50,13 @@
     private long mRefusedCount;
     private long mLastLineNanos;
 
-    private TargetConnectionPool(final Transport transport, final TargetPoolSettings settings) {
+    private TargetConnectionPool(
+            final Transport transport,
+            final TargetPoolSettings settings,
+            final long maxWaitMillis) {
         mTransport = transport;
         mSettings = settings;
+        mMaxWaitMillis = maxWaitMillis;
     }
 
     /**
@@ -63,10 +68,19 @@
      */
     public static TargetConnectionPool of(
             final Transport transport, final TargetPoolSettings settings) {
+        return of(transport, settings, MAX_WAIT_MILLIS);
+    }
+
+    /** Returns a pool where a request waits for a connection for the given time at most. */
+    static TargetConnectionPool of(
+            final Transport transport,
+            final TargetPoolSettings settings,
+            final long maxWaitMillis) {
         final TargetConnectionPool pool =
                 new TargetConnectionPool(
                         Objects.requireNonNull(transport, "transport is null"),
-                        Objects.requireNonNull(settings, "settings is null"));
+                        Objects.requireNonNull(settings, "settings is null"),
+                        maxWaitMillis);
         pool.ensureMinIdle();
         return pool;
     }
@@ -167,7 +181,7 @@
             }
             request.loop()
                     .schedule(
-                            () -> onWaitedTooLong(request), MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+                            () -> onWaitedTooLong(request), mMaxWaitMillis, TimeUnit.MILLISECONDS);
         };
     }
 
--- a/src/test/java/io/bilberrylane/http/TargetConnectionPoolTest.java
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionPoolTest.java
@@ -96,6 +96,7 @@
     final class AtTheLimit {
         private static final int LIMIT = 4;
         private static final int SOON_MILLIS = 10;
+        private static final int PATIENT_WAIT_MILLIS = 4_000;
         private static final int REFUSALS = 20;
 
         private final List<Socket> mSockets = new ArrayList<>();
@@ -107,6 +108,12 @@
             }
         }
 
+        /** Starts anew with requests that wait so long that a slow machine does not matter. */
+        private void waitPatiently() throws IOException {
+            mTarget.close();
+            mTarget = ScriptedTarget.listen(PATIENT_WAIT_MILLIS);
+        }
+
         private void sendOnNewConnections(final int count) throws IOException {
             for (int i = 0; i < count; i++) {
                 mTarget.send("GET", 0, "id-1");
@@ -154,6 +161,7 @@
         // Guards against: a call is refused while a check of reachability holds the last place.
         @Test
         void shouldWaitForAConnectionThatIsReturnedUnused() throws Exception {
+            waitPatiently();
             final List<TargetConnection> held = holdEveryConnection();
             mTarget.send("GET", 0, "id-1");
             TimeUnit.MILLISECONDS.sleep(SOON_MILLIS);
@@ -168,6 +176,7 @@
 
         @Test
         void shouldReplaceAReturnedConnectionThatDoesNotFit() throws Exception {
+            waitPatiently();
             sendOnNewConnections(LIMIT);
             for (final Socket socket : mSockets) {
                 respond(socket);
@@ -183,6 +192,7 @@
 
         @Test
         void shouldTakeThePlaceOfAConnectionThatBreaks() throws Exception {
+            waitPatiently();
             holdEveryConnection();
             mTarget.send("GET", 0, "id-1");
             TimeUnit.MILLISECONDS.sleep(SOON_MILLIS);
