Write to a test's target through one stream

Traced with a print at each close of a connection, 80 repetitions beside other work: 9 red, and in all 80 the node had closed the connection for the late copy, as it should. The stand-in asked the socket for its stream a second time, to flush it, when its other thread had already closed it. What the test asks is unchanged.

--- a/src/test/java/io/bilberrylane/node/PlatformTarget.java
+++ b/src/test/java/io/bilberrylane/node/PlatformTarget.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -67,8 +68,9 @@
         }
 
         void write(final String text) throws IOException {
-            mSocket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-            mSocket.getOutputStream().flush();
+            final OutputStream out = mSocket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
         }
 
         /** Runs the request to its good end. */
