Name what closed a caller's connection when a request had no answer

The line answer-cut could not tell the hypotheses apart: a connection that an error, a timer or the caller had closed was logged as caller-left, because Netty closes the channel before it reports the error.

The end of a connection is now handled after the error that caused it, and each timer of the node names its limit.

--- a/src/main/java/io/bilberrylane/http/IngressHandler.java
+++ b/src/main/java/io/bilberrylane/http/IngressHandler.java
@@ -47,7 +47,10 @@
     @Override
     public void channelActive(final ChannelHandlerContext ctx) {
         mCtx = ctx;
-        ctx.channel().closeFuture().addListener(done -> onConnectionEnded());
+        // An error that has closed the channel is reported after the close.
+        ctx.channel()
+                .closeFuture()
+                .addListener(done -> ctx.executor().execute(this::onConnectionEnded));
         awaitRequest();
     }
 
@@ -78,7 +81,7 @@
             }
             return;
         }
-        if (cause instanceof IOException || mExchange == null) {
+        if (cause instanceof IOException || mExchange == null || !ctx.channel().isActive()) {
             LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log(
                     "caller connection failed");
             mEndCause = (cause instanceof IOException ? "caller-lost:" : "error:") + cause;
@@ -195,7 +198,7 @@
         }
         if (bodyRemains) {
             mDiscarding = true;
-            startTimer(callerLimits().headTimeoutMillis());
+            startTimer(callerLimits().headTimeoutMillis(), "body-timeout");
             mCtx.read();
             return;
         }
@@ -211,21 +214,27 @@
     /** Called by the decoder when the first bytes of a head arrive. */
     void onHeadBytes() {
         if (mExchange == null) {
-            startTimer(callerLimits().headTimeoutMillis());
+            startTimer(callerLimits().headTimeoutMillis(), "head-timeout");
         }
     }
 
     private void awaitRequest() {
-        startTimer(callerLimits().idleTimeoutMillis());
+        startTimer(callerLimits().idleTimeoutMillis(), "idle-timeout");
         mCtx.read();
     }
 
-    private void startTimer(final long delayMillis) {
+    private void startTimer(final long delayMillis, final String endCause) {
         cancelTimer();
         if (mCtx != null) {
             mTimer =
                     mCtx.executor()
-                            .schedule(() -> mCtx.close(), delayMillis, TimeUnit.MILLISECONDS);
+                            .schedule(
+                                    () -> {
+                                        mEndCause = endCause;
+                                        mCtx.close();
+                                    },
+                                    delayMillis,
+                                    TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/io/bilberrylane/net/Transport.java
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -37,10 +37,10 @@
     private final boolean mEpoll;
     private final Ticker mTicker;
 
-    private Transport(final EventLoopGroup group, final boolean epoll) {
-        mGroup = group;
+    private Transport(final int workers, final boolean epoll, final IoHandlerFactory factory) {
+        mGroup = new MultiThreadIoEventLoopGroup(workers, factory);
         mEpoll = epoll;
-        mTicker = new Ticker(group.next());
+        mTicker = new Ticker(mGroup.next());
     }
 
     /**
@@ -51,9 +51,18 @@
      */
     public static Transport of(final int workers) {
         final boolean epoll = Epoll.isAvailable();
-        final IoHandlerFactory factory =
-                epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
-        return new Transport(new MultiThreadIoEventLoopGroup(workers, factory), epoll);
+        return new Transport(
+                workers, epoll, epoll ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+    }
+
+    /**
+     * Returns a transport with the given I/O, for tests.
+     *
+     * @param workers the number of event loop threads
+     * @param epoll creates the handlers that do the I/O, compatible with epoll
+     */
+    static Transport ofEpoll(final int workers, final IoHandlerFactory epoll) {
+        return new Transport(workers, true, epoll);
     }
 
     /**
--- a/src/test/java/io/bilberrylane/http/ScriptedCalls.java
+++ b/src/test/java/io/bilberrylane/http/ScriptedCalls.java
@@ -41,11 +41,17 @@
 
     private final BlockingQueue<Call> mCalls = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> mCuts = new LinkedBlockingQueue<>();
-    private final Transport mTransport = Transport.of(1);
+    private final Transport mTransport;
     private final HttpServer mServer;
     private volatile Runnable mBeforeRouting = () -> {};
 
     ScriptedCalls() {
+        this(Transport.of(1));
+    }
+
+    /** Creates a server on a transport with one event loop, which ends with the server. */
+    ScriptedCalls(final Transport transport) {
+        mTransport = transport;
         final Catalogue catalogue = CatalogueReader.read("test", CATALOGUE).orThrow();
         mServer =
                 HttpServer.bind(
@@ -77,8 +83,12 @@
             mRequestEnd = new CountDownLatch(head.hasBody() ? 1 : 0);
         }
 
-        void admitAndAwaitRequest() throws InterruptedException {
+        void admit() {
             mSink.onAdmitted(TargetLoad.ABSENT);
+        }
+
+        void admitAndAwaitRequest() throws InterruptedException {
+            admit();
             if (!mRequestEnd.await(EVENT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
                 throw new AssertionError("the request was not read to its end");
             }
@@ -153,6 +163,10 @@
         mTransport.group().next().submit(() -> {}).syncUninterruptibly();
     }
 
+    Transport transport() {
+        return mTransport;
+    }
+
     HttpServer server() {
         return mServer;
     }
@@ -168,7 +182,11 @@
     }
 
     static void sendRequest(final Socket socket) throws IOException {
-        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.ISO_8859_1));
+        send(socket, REQUEST);
+    }
+
+    static void send(final Socket socket, final String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     static String readHead(final Socket socket) throws IOException {
