Register a channel anew when the event queue has lost its descriptor

Cause: epoll_ctl failed with ENOENT when the node asked for the body of an admitted request. Netty closes the channel on that, and the exchange ended as if the caller had left.

Ruled out: timers of the node (0 cuts with four changes of the idle limit), an end of stream, Netty's own bookkeeping (500 of 500 numbers used again kept their registration on Linux). Closing connections outside the round of events did not help.

Change: an I/O handler below all channels registers the channel again and repeats the change; other errors are left to Netty. A gauge counts it.

--- a/src/main/java/io/bilberrylane/net/Transport.java
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -21,6 +21,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.EventExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** The event loops and the channel types that the operating system supports. */
 public final class Transport implements AutoCloseable {
@@ -36,9 +37,12 @@
     private final EventLoopGroup mGroup;
     private final boolean mEpoll;
     private final Ticker mTicker;
+    private final AtomicLong mRenewedRegistrations = new AtomicLong();
 
     private Transport(final int workers, final boolean epoll, final IoHandlerFactory factory) {
-        mGroup = new MultiThreadIoEventLoopGroup(workers, factory);
+        mGroup =
+                new MultiThreadIoEventLoopGroup(
+                        workers, RenewingIoHandler.factory(factory, mRenewedRegistrations));
         mEpoll = epoll;
         mTicker = new Ticker(mGroup.next());
     }
@@ -74,6 +78,16 @@
         return mEpoll;
     }
 
+    /**
+     * Returns how often a channel was registered anew because the event queue of the operating
+     * system no longer knew its descriptor.
+     *
+     * @return a count since the start
+     */
+    public long renewedRegistrations() {
+        return mRenewedRegistrations.get();
+    }
+
     /** Logs which implementation is in use, and why epoll is not if it is not. */
     public void logImplementation() {
         if (mEpoll) {
--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -311,6 +311,11 @@
                 "bilberrylane.task.failures",
                 "Runs of recurring tasks that failed with an unexpected error since the start",
                 GuardedTask::failures);
+        mMetrics.gauge(
+                "bilberrylane.registrations.renewed",
+                "Channels registered anew since the start, because the event queue did not know"
+                        + " their descriptor",
+                mTransport::renewedRegistrations);
         mMetrics.gauge(
                 "bilberrylane.platform.failures",
                 "Calls to the platform that failed since the start",
