Reject responses with a status that HTTP does not define

A target in trouble answered with the status 000, and the caller got it as an answer ("HTTP/1.1 0 Unknown Status (0)", with the target's signature). The decoder takes any number; the status went on unchecked.

A status outside 100 to 599 now breaks the exchange off: 502 unknown, or another target for a call that may run again.

--- a/src/main/java/io/bilberrylane/http/TargetConnection.java
+++ b/src/main/java/io/bilberrylane/http/TargetConnection.java
@@ -366,6 +366,12 @@
             fail(new RejectedResponseException(response.decoderResult().cause()));
             return;
         }
+        if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+            fail(
+                    new RejectedResponseException(
+                            "the response has the undefined status " + response.status().code()));
+            return;
+        }
         if (isJoined(response)) {
             fail(
                     new RejectedResponseException(
--- a/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
+++ b/src/test/java/io/bilberrylane/http/TargetConnectionTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class TargetConnectionTest {
     private static final String MATCHING_RESPONSE =
@@ -104,6 +105,15 @@
         assertThat(mTarget.hasEvents()).isFalse();
     }
 
+    // Guards against: a status that HTTP does not define, such as 000, is passed on to the caller.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "0", "20", "099", "600", "999", "2000"})
+    void shouldRejectAStatusOutsideTheDefinedClasses(final String status) throws Exception {
+        exchange("HTTP/1.1 " + status + " Odd\r\nId: own\r\nContent-Length: 3\r\n\r\nyes", false);
+        assertThat(mTarget.nextEvent()).isEqualTo(ScriptedTarget.BROKEN);
+        assertThat(mTarget.remainingConnections()).isZero();
+    }
+
     // Guards against: an exchange never ends because its connection was closed, on its own event
     // loop, just before another one started the exchange.
     @Test
