--- a/src/main/java/io/bilberrylane/node/Node.java
+++ b/src/main/java/io/bilberrylane/node/Node.java
@@ -1,7 +1,6 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
-import io.bilberrylane.base.DroppingAppender;
 import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.base.ResourceCloser;
 import io.bilberrylane.http.HttpServer;
@@ -14,7 +13,6 @@
 import io.bilberrylane.peer.PeerLinks;
 import io.bilberrylane.peer.PeerMessage;
 import io.bilberrylane.peer.PeerServer;
-import io.bilberrylane.platform.ObjectJson;
 import io.bilberrylane.platform.ObjectStore;
 import io.bilberrylane.platform.PlatformClient;
 import io.bilberrylane.policy.OutageBackoff;
@@ -250,80 +248,11 @@
     private void registerGauges() {
         mQuotas.counters().registerAt(mMetrics);
         mRouter.overload().register(mMetrics);
-        mMetrics.gauge(
-                "bilberrylane.configuration.revision",
-                "Revision of the configuration in force",
-                () -> mConfiguration.version().catalogue());
-        mMetrics.gauge(
-                "bilberrylane.configuration.findings",
-                "Elements of the configuration in force that are not understood",
-                () -> mConfiguration.findings().size());
-        mMetrics.gauge(
-                "bilberrylane.gate.in.flight",
-                "Requests in service at the target",
-                () -> mGate.load().inFlight());
-        mMetrics.gauge(
-                "bilberrylane.gate.allowance",
-                "Requests that may be in service at the target",
-                () -> mGate.load().allowance());
-        mMetrics.gauge(
-                "bilberrylane.target.connections.limit",
-                "Connections to the target that the node opens at most",
-                () -> mGate.connections().limit());
-        mMetrics.gauge(
-                "bilberrylane.target.connections.counted",
-                "Connections to the target that the pool counts",
-                () -> mGate.connections().counted());
-        mMetrics.gauge(
-                "bilberrylane.target.connections.open",
-                "Connections to the target that are really open",
-                () -> mGate.connections().open());
-        mMetrics.gauge(
-                "bilberrylane.target.connections.refused",
-                "Requests for a connection that were refused at the limit since the target's"
-                        + " announcement",
-                () -> mGate.connections().refused());
-        mMetrics.gauge(
-                "bilberrylane.gate.keys",
-                "Idempotency keys remembered at the gate",
-                mGate::keyCount);
-        mMetrics.gauge(
-                "bilberrylane.departures.unsaved",
-                "1 while the platform does not have all departures of the target",
-                () -> mDepartureStore.isSaved() ? 0 : 1);
-        mMetrics.gauge(
-                "bilberrylane.platform.reads",
-                "Reads of the platform since the start",
-                () -> mPlatform.counters().reads());
-        mMetrics.gauge(
-                "bilberrylane.platform.writes",
-                "Writes to the platform since the start",
-                () -> mPlatform.counters().writes());
-        mMetrics.gauge(
-                "bilberrylane.log.dropped",
-                "Log lines dropped since the start because too many waited",
-                DroppingAppender::droppedCount);
-        mMetrics.gauge(
-                "bilberrylane.platform.invalid.objects",
-                "Objects of the platform that were ignored since the start",
-                ObjectJson::invalidObjects);
-        mMetrics.gauge(
-                "bilberrylane.task.failures",
-                "Runs of recurring tasks that failed with an unexpected error since the start",
-                GuardedTask::failures);
-        mMetrics.gauge(
-                "bilberrylane.registrations.renewed",
-                "Channels registered anew since the start, because the event queue did not know"
-                        + " their descriptor",
-                mTransport::renewedRegistrations);
-        mMetrics.gauge(
-                "bilberrylane.platform.failures",
-                "Calls to the platform that failed since the start",
-                () -> mPlatform.counters().failures());
-        mMetrics.gauge(
-                "bilberrylane.membership.datagram.bytes",
-                "Bytes of membership datagrams sent and received since the start",
-                mMembership::datagramBytes);
+        final NodeGauges gauges = new NodeGauges(mMetrics);
+        gauges.registerConfiguration(mConfiguration);
+        gauges.registerGate(mGate);
+        gauges.registerPlatform(mPlatform.counters(), mDepartureStore);
+        gauges.registerProcess(mTransport, mMembership);
     }
 
     private void logAddresses() {
