Wait for the end of the recurring task in GuardedTaskTest

By the log the fifth run was one of the sibling test's recurring task, 57 us before the count was read: shutdownNow does not wait for a run that has begun. The test waits now; its checks are unchanged.

--- a/src/main/java/io/bilberrylane/net/Transport.java
+++ b/src/main/java/io/bilberrylane/net/Transport.java
@@ -64,6 +64,7 @@
      *
      * @param workers the number of event loop threads
      * @param epoll creates the handlers that do the I/O, compatible with epoll
+     * @return a running transport
      */
     static Transport ofEpoll(final int workers, final IoHandlerFactory epoll) {
         return new Transport(workers, true, epoll);
--- a/src/test/java/io/bilberrylane/base/GuardedTaskTest.java
+++ b/src/test/java/io/bilberrylane/base/GuardedTaskTest.java
@@ -50,6 +50,8 @@
             assertThat(runs.await(5, TimeUnit.SECONDS)).isTrue();
         } finally {
             executor.shutdownNow();
+            // A run that ends later would be counted in the other test.
+            assertThat(executor.awaitTermination(5, TimeUnit.SECONDS)).isTrue();
         }
     }
 }
