--- a/src/test/java/io/bilberrylane/http/LostRegistrationTest.java
+++ b/src/test/java/io/bilberrylane/http/LostRegistrationTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.bilberrylane.net.ForgetfulIoHandler;
+import io.bilberrylane.net.FaultyIoHandler;
 import io.netty.channel.unix.Errors;
 import java.net.Socket;
 import org.junit.jupiter.api.AfterEach;
@@ -14,12 +14,12 @@
     private static final String HEAD = "POST / HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\n";
     private static final String BODY = "body";
 
-    private ForgetfulIoHandler.Faults mFaults;
+    private FaultyIoHandler.Faults mFaults;
     private ScriptedCalls mCalls;
 
     @BeforeEach
     void start() {
-        mFaults = new ForgetfulIoHandler.Faults();
+        mFaults = new FaultyIoHandler.Faults();
         mCalls = new ScriptedCalls(mFaults.transport());
     }
 
--- a/src/test/java/io/bilberrylane/net/ForgetfulIoHandler.java
+++ b/src/test/java/io/bilberrylane/net/FaultyIoHandler.java
@@ -14,11 +14,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Epoll that on request answers as if it did not know a descriptor that was registered. */
-public final class ForgetfulIoHandler implements IoHandler {
+public final class FaultyIoHandler implements IoHandler {
     private final IoHandler mHandler;
     private final Faults mFaults;
 
-    private ForgetfulIoHandler(final IoHandler handler, final Faults faults) {
+    private FaultyIoHandler(final IoHandler handler, final Faults faults) {
         mHandler = handler;
         mFaults = faults;
     }
@@ -56,7 +56,7 @@
         public Transport transport() {
             final IoHandlerFactory epoll = EpollIoHandler.newFactory();
             return Transport.ofEpoll(
-                    1, executor -> new ForgetfulIoHandler(epoll.newHandler(executor), this));
+                    1, executor -> new FaultyIoHandler(epoll.newHandler(executor), this));
         }
     }
 
