--- a/src/test/java/io/bilberrylane/net/RenewingIoHandlerTest.java
+++ b/src/test/java/io/bilberrylane/net/RenewingIoHandlerTest.java
@@ -65,7 +65,7 @@
             assertThat(mRegistration.isValid()).isTrue();
         }
 
-        // Guards against: a channel that cannot be registered anew stays open and hears nothing.
+        // Guards against: a channel that cannot be registered anew stays open and gets no events.
         @Test
         void shouldFailWhenTheChannelCannotBeRegisteredAnew() {
             mIo.mRegisterFails = true;
