--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -1,3 +1,4 @@
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -62,6 +63,39 @@
         }
     }
 
+    /** What arrived of an answer with a length; the head is null if there was none. */
+    record Partial(Http.Head head, byte[] body) {}
+
+    /** Sends a request without a body and returns what arrives of the answer. */
+    static Partial callPartial(
+            final int port,
+            final String requestLine,
+            final List<String> headers,
+            final int timeoutMillis) {
+        final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        Http.Head head = null;
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
+            socket.setSoTimeout(timeoutMillis);
+            write(socket, requestLine, headers, null);
+            head = Http.readHead(socket.getInputStream());
+            int left = head == null ? 0 : Integer.parseInt(head.header("content-length"));
+            final byte[] bytes = new byte[16_384];
+            while (left > 0) {
+                final int length =
+                        socket.getInputStream().read(bytes, 0, Math.min(left, bytes.length));
+                if (length < 0) {
+                    break;
+                }
+                body.write(bytes, 0, length);
+                left -= length;
+            }
+        } catch (IOException e) {
+            // What has arrived is returned.
+        }
+        return new Partial(head, body.toByteArray());
+    }
+
     static void write(
             final Socket socket,
             final String requestLine,
--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -275,6 +275,11 @@
         return process;
     }
 
+    /** Sends a signal to a process that this class has started. */
+    static void signal(final Process process, final String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    }
+
     /** A condition that may fail to be checked. */
     interface Condition {
         boolean holds() throws Exception;
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -16,10 +16,11 @@
  */
 final class Worker {
     static final int SLOTS = 6;
+    private static final long PAUSE_MILLIS = 2;
 
     /** What a worker does with a request that it runs. */
     interface Job {
-        /** Returns the status of the answer; negative to close the connection without one. */
+        /** Returns the status of the answer; negative to reset the connection without one. */
         int run(Run run) throws Exception;
     }
 
@@ -45,6 +46,8 @@
     private volatile Job mJob = run -> 200;
     private volatile int mSlots = SLOTS;
     private volatile boolean mTellsLoad = true;
+    private volatile int mAnswerBytes;
+    private volatile int mPieceBytes = Integer.MAX_VALUE / 2;
     private int mStarts;
 
     Worker(final Fleet fleet, final Fleet.Machine machine) throws IOException {
@@ -69,6 +72,25 @@
         mSlots = slots;
     }
 
+    /** Lets the answers have a length and come in pieces of another one, with pauses. */
+    void setAnswers(final int bytes, final int pieceBytes) {
+        mAnswerBytes = bytes;
+        mPieceBytes = pieceBytes;
+    }
+
+    /** Returns the whole body of a worker's answer; each line of a long one names the worker. */
+    static byte[] answer(final String worker, final String requestId, final int bytes) {
+        final String line = "answer of " + worker + " to " + requestId;
+        if (bytes == 0) {
+            return Http.bytes(line);
+        }
+        final StringBuilder text = new StringBuilder();
+        while (text.length() < bytes) {
+            text.append(line).append(' ').append(text.length()).append('\n');
+        }
+        return Http.bytes(text.substring(0, bytes));
+    }
+
     void setTellsLoad(final boolean tellsLoad) {
         mTellsLoad = tellsLoad;
     }
@@ -211,16 +233,22 @@
                     head.header("x-request-deadline-ms"));
             final int status = mJob.run(run);
             if (status < 0) {
+                socket.setSoLinger(true, 0);
                 return false;
             }
-            final byte[] answer = Http.bytes("answer of " + mId + " to " + id);
+            final byte[] answer = answer(mId, id, mAnswerBytes);
             out.write(
                     Http.bytes(
                             "HTTP/1.1 " + status + " Done\r\nX-Request-Id: " + id
                                     + "\r\nX-Response-Signature: " + mId + "." + id
                                     + loadField()
                                     + "\r\nContent-Length: " + answer.length + "\r\n\r\n"));
-            out.write(answer);
+            for (int from = 0; from < answer.length; from += mPieceBytes) {
+                out.write(answer, from, Math.min(mPieceBytes, answer.length - from));
+                if (answer.length > mPieceBytes) {
+                    Thread.sleep(PAUSE_MILLIS);
+                }
+            }
             return true;
         } finally {
             mRunning.decrementAndGet();
