Separate what calls at an ingress need of their node

Cause: a call at an ingress (RoutedCall with its parts) took the whole Router and read the system's clock, so that nothing but whole nodes and real time could play it; a test could not put two events of one call into a given order.

Change: CallEnvironment names what these classes use, TokenSource what they take from a limit. Router and QuotaService implement them; time comes from the environment. No behaviour changes. Router.markSilent is the interface's default method.

--- a/src/main/java/io/bilberrylane/node/CallContext.java
+++ b/src/main/java/io/bilberrylane/node/CallContext.java
@@ -7,11 +7,15 @@
 /**
  * What the parts of one call at the ingress share.
  *
- * @param router selects targets and opens calls at their gates
+ * @param environment selects targets and opens calls at their gates
  * @param route the route of the call
  * @param executor the event loop of the call
  * @param identity who makes the call
  * @param plan the offers of the call to gates
  */
 record CallContext(
-        Router router, Route route, EventExecutor executor, CallIdentity identity, CallPlan plan) {}
+        CallEnvironment environment,
+        Route route,
+        EventExecutor executor,
+        CallIdentity identity,
+        CallPlan plan) {}
--- a/src/main/java/io/bilberrylane/node/CallFailover.java
+++ b/src/main/java/io/bilberrylane/node/CallFailover.java
@@ -74,7 +74,7 @@
         }
         mResponse.addToTrail("silent");
         final boolean mayHaveRun = !head().hasBody();
-        mCall.router().markSilent(attempt.target(), head().service(), mCall.route().id());
+        mCall.environment().markSilent(attempt.target(), head().service(), mCall.route().id());
         if (mayHaveRun && !tryFailover(attempt.host())) {
             return;
         }
@@ -176,7 +176,7 @@
                 code == ErrorCode.LINK_LOST && head().hasBody() && !mBody.isSent();
         final CallPhase phase = neverStarted ? CallPhase.NEVER : reportedPhase;
         if (code == ErrorCode.LINK_LOST) {
-            mCall.router().markSilent(attempt.target(), head().service(), mCall.route().id());
+            mCall.environment().markSilent(attempt.target(), head().service(), mCall.route().id());
         }
         mResponse.addToTrail(code.wireName() + "/" + phase);
         if (phase.isNotRun()) {
@@ -203,7 +203,7 @@
         mOutcomePending = true;
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
                 "link lost during call %s; querying its outcome from the gate", attempt.callId());
-        mCall.router()
+        mCall.environment()
                 .resolveOutcome(
                         attempt.target(),
                         attempt.callId(),
--- a/src/main/java/io/bilberrylane/node/CallIdentity.java
+++ b/src/main/java/io/bilberrylane/node/CallIdentity.java
@@ -12,7 +12,7 @@
  * limit of its organisation. Confined to the event loop of the call.
  */
 final class CallIdentity {
-    private final Router mRouter;
+    private final CallEnvironment mEnvironment;
     private final Route mRoute;
     private final boolean mKeepsPriority;
     private CallHead mHead;
@@ -25,17 +25,17 @@
      * @param keepsPriority whether the priority of the call outlasts a change of the configuration
      */
     CallIdentity(
-            final Router router,
+            final CallEnvironment environment,
             final Route route,
             final CallHead head,
             final Optional<CallerPermit> permit,
             final boolean keepsPriority) {
-        mRouter = router;
+        mEnvironment = environment;
         mRoute = route;
         mHead = head;
         mPermit = permit;
         mKeepsPriority = keepsPriority;
-        mQuota = router.quota(head);
+        mQuota = environment.quota(head);
     }
 
     /** Returns the head of the call with the organisation and the priority in force. */
@@ -53,11 +53,11 @@
      * is still accepted.
      */
     boolean renew() {
-        final Catalogue current = mRouter.catalogue();
+        final Catalogue current = mEnvironment.catalogue();
         if (mPermit.isEmpty() || mPermit.get().catalogue() == current) {
             return true;
         }
-        final LocalRuns runs = mRouter.localRuns();
+        final LocalRuns runs = mEnvironment.localRuns();
         final CallerPermit renewed = mPermit.get().renewed(current, mRoute, runs);
         if (renewed.isAccepted()) {
             final boolean neededKey = mPermit.get().catalogue().requiresKeys();
@@ -72,7 +72,7 @@
     /** Applies the organisation in force to the call and to what it takes from a limit. */
     private void apply(final CallerPermit renewed, final LocalRuns runs) {
         final CallHead previous = mHead;
-        mHead = renewed.applyTo(previous, mRoute, runs, mRouter.headerNames());
+        mHead = renewed.applyTo(previous, mRoute, runs, mEnvironment.headerNames());
         if (mKeepsPriority || previous.nested() && mHead.nested()) {
             mHead = mHead.withPriority(previous.priority());
         }
@@ -81,7 +81,7 @@
                         && mHead.nested() == previous.nested();
         if (!isSameOrganisation) {
             mQuota.release();
-            mQuota = mRouter.quota(mHead);
+            mQuota = mEnvironment.quota(mHead);
         }
     }
 }
--- a/src/main/java/io/bilberrylane/node/CallQuota.java
+++ b/src/main/java/io/bilberrylane/node/CallQuota.java
@@ -20,14 +20,14 @@
      */
     private static final long MAX_LATE_NANOS = QuotaPlan.QUEUEING_NANOS - 20 * NANOS_PER_MILLI;
 
-    private final QuotaService mService;
+    private final TokenSource mTokens;
     private final String mOrganisation;
     private boolean mHeld;
     private long mExpiryNanos;
 
     /** A call that a target makes on behalf of a request that it runs takes nothing. */
-    CallQuota(final QuotaService service, final CallHead head) {
-        mService = service;
+    CallQuota(final TokenSource tokens, final CallHead head) {
+        mTokens = tokens;
         mOrganisation = head.nested() ? "" : head.organisation();
     }
 
@@ -36,18 +36,18 @@
         if (!isLimited()) {
             return true;
         }
-        mHeld = mHeld && mService.remainingNanos(mExpiryNanos) > 0;
+        mHeld = mHeld && mTokens.remainingNanos(mExpiryNanos) > 0;
         return mHeld;
     }
 
     private boolean isLimited() {
-        return !mOrganisation.isEmpty() && mService.isLimited(mOrganisation);
+        return !mOrganisation.isEmpty() && mTokens.isLimited(mOrganisation);
     }
 
     /** Returns how long the call may wait at a gate: owners count its token no longer. */
     long maxWaitMillis() {
         return mHeld
-                ? Math.max(0, mService.remainingNanos(mExpiryNanos) + MAX_LATE_NANOS)
+                ? Math.max(0, mTokens.remainingNanos(mExpiryNanos) + MAX_LATE_NANOS)
                         / NANOS_PER_MILLI
                 : Long.MAX_VALUE;
     }
@@ -64,7 +64,7 @@
      */
     void reserve(
             final EventExecutor executor, final Runnable onGranted, final LongConsumer onRefused) {
-        mService.reserve(mOrganisation, executor, answer -> onAnswer(answer, onGranted, onRefused));
+        mTokens.reserve(mOrganisation, executor, answer -> onAnswer(answer, onGranted, onRefused));
     }
 
     private void onAnswer(
@@ -82,7 +82,7 @@
     void commit() {
         if (mHeld) {
             mHeld = false;
-            mService.recordSpent();
+            mTokens.recordSpent();
         }
     }
 
@@ -90,7 +90,7 @@
     void release() {
         if (mHeld) {
             mHeld = false;
-            mService.release(mOrganisation, mExpiryNanos);
+            mTokens.release(mOrganisation, mExpiryNanos);
         }
     }
 }
--- a/src/main/java/io/bilberrylane/node/CallRetries.java
+++ b/src/main/java/io/bilberrylane/node/CallRetries.java
@@ -10,14 +10,18 @@
  * service. Confined to the event loop of the call.
  */
 final class CallRetries {
-    private final Router mRouter;
+    private final CallEnvironment mEnvironment;
     private final Route mRoute;
     private final String mService;
     private final CallPlan mPlan;
     private boolean mGranted;
 
-    CallRetries(final Router router, final Route route, final String service, final CallPlan plan) {
-        mRouter = router;
+    CallRetries(
+            final CallEnvironment environment,
+            final Route route,
+            final String service,
+            final CallPlan plan) {
+        mEnvironment = environment;
         mRoute = route;
         mService = service;
         mPlan = plan;
@@ -25,7 +29,7 @@
 
     /** Returns whether the call may be offered to a gate; if it has run, this needs a grant. */
     boolean mayOffer() {
-        if (mPlan.runs() > 0 && !mGranted && !mRouter.tryAcquireRetry(mService)) {
+        if (mPlan.runs() > 0 && !mGranted && !mEnvironment.tryAcquireRetry(mService)) {
             return false;
         }
         mGranted = mPlan.runs() > 0;
@@ -40,8 +44,8 @@
         final Set<String> excluded = new HashSet<>(mPlan.excludedHosts());
         excluded.add(host);
         return mPlan.runs() + 1 < mRoute.attempts()
-                && mRouter.hasOtherTarget(mRoute, mService, excluded)
-                && mRouter.tryAcquireRetry(mService);
+                && mEnvironment.hasOtherTarget(mRoute, mService, excluded)
+                && mEnvironment.tryAcquireRetry(mService);
     }
 
     /** Keeps an acquired grant for the next offer. */
--- a/src/main/java/io/bilberrylane/node/CallerResponse.java
+++ b/src/main/java/io/bilberrylane/node/CallerResponse.java
@@ -19,13 +19,14 @@
     /** A refused caller is told to retry after at least its timeout divided by this. */
     private static final long RETRY_AFTER_DIVISOR = 10;
 
+    private final CallEnvironment mEnvironment;
     private final Route mRoute;
     private final CallIdentity mIdentity;
     private final CallPlan mPlan;
     private final OverloadDecision mOverload;
     private final ResponseSink mSink;
     private final Runnable mOnFinished;
-    private final long mStartNanos = System.nanoTime();
+    private final long mStartNanos;
     private final CallTrail mTrail = new CallTrail();
     private int mForwardedStatus;
     private boolean mFinished;
@@ -37,15 +38,15 @@
      * @param onFinished runs when the call has ended, before its caller learns of it
      */
     CallerResponse(
-            final Route route,
-            final CallIdentity identity,
-            final CallPlan plan,
+            final CallContext call,
             final OverloadDecision overload,
             final ResponseSink sink,
             final Runnable onFinished) {
-        mRoute = route;
-        mIdentity = identity;
-        mPlan = plan;
+        mEnvironment = call.environment();
+        mRoute = call.route();
+        mIdentity = call.identity();
+        mPlan = call.plan();
+        mStartNanos = mEnvironment.nanoTime();
         mOverload = overload;
         mSink = sink;
         mOnFinished = onFinished;
@@ -62,7 +63,7 @@
     }
 
     long elapsedMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+        return TimeUnit.NANOSECONDS.toMillis(mEnvironment.nanoTime() - mStartNanos);
     }
 
     void addToTrail(final String step) {
--- a/src/main/java/io/bilberrylane/node/GateAttempt.java
+++ b/src/main/java/io/bilberrylane/node/GateAttempt.java
@@ -19,7 +19,7 @@
  * the call, and ignores events after its end.
  */
 final class GateAttempt implements ResponseSink {
-    private final Router mRouter;
+    private final CallEnvironment mEnvironment;
     private final EventExecutor mExecutor;
     private final TargetRef mTarget;
     private final CallHead mHead;
@@ -42,12 +42,12 @@
      * @param listener receives the events of the gate
      */
     GateAttempt(
-            final Router router,
+            final CallEnvironment environment,
             final EventExecutor executor,
             final TargetRef target,
             final CallHead head,
             final AttemptListener listener) {
-        mRouter = router;
+        mEnvironment = environment;
         mExecutor = executor;
         mTarget = target;
         mHead = head;
@@ -112,14 +112,14 @@
 
     /** Offers the call to the gate. */
     void open(final long queueTimeoutMillis) {
-        mOfferedNanos = System.nanoTime();
+        mOfferedNanos = mEnvironment.nanoTime();
         mMayQueue = queueTimeoutMillis > 0;
         mSilenceTimer =
                 mExecutor.schedule(
                         this::onSilence,
-                        queueTimeoutMillis + mRouter.silenceTimeoutMillis(),
+                        queueTimeoutMillis + mEnvironment.silenceTimeoutMillis(),
                         TimeUnit.MILLISECONDS);
-        mBody = mRouter.opener(mTarget).open(mHead, this);
+        mBody = mEnvironment.opener(mTarget).open(mHead, this);
     }
 
     /** Withdraws the call from the gate; returns false if the attempt has ended. */
@@ -137,7 +137,7 @@
         }
         mClosed = true;
         mSilenceTimer.cancel(false);
-        mRouter.recordCompletion(mTarget);
+        mEnvironment.recordCompletion(mTarget);
         return true;
     }
 
@@ -180,20 +180,20 @@
     }
 
     private void recordLoad(final TargetLoad load) {
-        mRouter.recordLoad(mTarget, mHead.service(), mHead.route(), load);
+        mEnvironment.recordLoad(mTarget, mHead.service(), mHead.route(), load);
     }
 
     /** Records how long the gate took to reply, unless the call may have queued there. */
     private void recordReply() {
         if (!mMayQueue) {
-            final long elapsedNanos = System.nanoTime() - mOfferedNanos;
-            mRouter.recordReply(TimeUnit.NANOSECONDS.toMillis(elapsedNanos));
+            final long elapsedNanos = mEnvironment.nanoTime() - mOfferedNanos;
+            mEnvironment.recordReply(TimeUnit.NANOSECONDS.toMillis(elapsedNanos));
         }
     }
 
     private void onSilence() {
         if (!mClosed && !mAdmitted && mBody != null) {
-            mRouter.recordSilence();
+            mEnvironment.recordSilence();
             mListener.onSilence(this);
         }
     }
--- a/src/main/java/io/bilberrylane/node/GateChooser.java
+++ b/src/main/java/io/bilberrylane/node/GateChooser.java
@@ -12,19 +12,19 @@
     /** A larger body leaves the data centre only if no target there starts the call soon. */
     private static final long LARGE_BODY_BYTES = 16 * 1024;
 
-    private final Router mRouter;
+    private final CallEnvironment mEnvironment;
     private final Route mRoute;
     private final String mService;
     private final CallPlan mPlan;
     private final SelectionCriteria mCriteria;
 
     GateChooser(
-            final Router router,
+            final CallEnvironment environment,
             final Route route,
             final CallHead head,
             final CallPlan plan,
             final Placement placement) {
-        mRouter = router;
+        mEnvironment = environment;
         mRoute = route;
         mService = head.service();
         mPlan = plan;
@@ -58,7 +58,7 @@
     }
 
     private Optional<TargetRef> chooseInRound(final long elapsedMillis) {
-        return mRouter.choose(
+        return mEnvironment.choose(
                 mRoute,
                 mService,
                 mPlan.excludedHosts(),
--- a/src/main/java/io/bilberrylane/node/GateOffers.java
+++ b/src/main/java/io/bilberrylane/node/GateOffers.java
@@ -78,7 +78,7 @@
         final Optional<TargetRef> target =
                 fallback.holder().isEmpty()
                         ? mChooser.choose(mResponse.elapsedMillis())
-                        : mCall.router().keyHolder(fallback.holder());
+                        : mCall.environment().keyHolder(fallback.holder());
         if (target.isPresent()) {
             open(target.get(), elapsedMillis);
         } else {
@@ -87,26 +87,26 @@
     }
 
     private void open(final TargetRef target, final long elapsedMillis) {
-        final Router router = mCall.router();
+        final CallEnvironment environment = mCall.environment();
         final CallHead head = mIdentity.head();
-        final long meanServiceMillis = router.meanServiceMillis(mCall.route(), head.service());
+        final long meanServiceMillis = environment.meanServiceMillis(mCall.route(), head.service());
         final boolean lastResort = mPlan.isLastResort(elapsedMillis, meanServiceMillis);
         final long queueTimeoutMillis =
                 Math.min(
                         mPlan.queueTimeoutMillis(elapsedMillis, meanServiceMillis),
                         mIdentity.quota().maxWaitMillis());
-        mPlan.recordOffer(lastResort, router.isRemote(target));
+        mPlan.recordOffer(lastResort, environment.isRemote(target));
         mResponse.addToTrail(target.candidate().host() + "+" + queueTimeoutMillis);
         final CallHead offered =
                 head.forAttempt(
-                        router.nextCallId(),
+                        environment.nextCallId(),
                         head.timeoutMillis() - elapsedMillis,
                         mPlan.runs() + 1,
                         elapsedMillis,
                         queueTimeoutMillis,
                         lastResort);
         final GateAttempt next =
-                new GateAttempt(router, mCall.executor(), target, offered, mListener);
+                new GateAttempt(environment, mCall.executor(), target, offered, mListener);
         mAttempts.setCurrent(next);
         next.open(queueTimeoutMillis);
     }
--- a/src/main/java/io/bilberrylane/node/QuotaService.java
+++ b/src/main/java/io/bilberrylane/node/QuotaService.java
@@ -26,7 +26,7 @@
  * requests more from the owners, and grants allowances for the limits that this node owns in part.
  * Without an organisation that has a limit it holds no state and sends nothing.
  */
-final class QuotaService implements AutoCloseable {
+final class QuotaService implements TokenSource, AutoCloseable {
     private static final long OWNER_TICK_MILLIS = 100;
     private static final long WAITER_TICK_MILLIS = 10;
 
@@ -121,21 +121,19 @@
 
     // -- calls of this ingress
 
-    boolean isLimited(final String organisation) {
+    @Override
+    public boolean isLimited(final String organisation) {
         refresh();
         return mState.isLimited(organisation);
     }
 
-    /** Returns the time until a token expires, in nanoseconds; 0 or less if it has. */
-    long remainingNanos(final long expiryNanos) {
+    @Override
+    public long remainingNanos(final long expiryNanos) {
         return mLock.get(() -> expiryNanos - mState.agingNanos());
     }
 
-    /**
-     * Reserves a token for a call. The consumer gets the answer on the executor, before this method
-     * returns if the allowance has a token.
-     */
-    void reserve(
+    @Override
+    public void reserve(
             final String organisation,
             final EventExecutor executor,
             final Consumer<QuotaAnswer> consumer) {
@@ -150,7 +148,8 @@
                 () -> consumer.accept(UNLIMITED));
     }
 
-    void release(final String organisation, final long expiryNanos) {
+    @Override
+    public void release(final String organisation, final long expiryNanos) {
         mCounters.recordReleased();
         runThenDispatch(
                 organisation,
@@ -158,7 +157,8 @@
                 () -> {});
     }
 
-    void recordSpent() {
+    @Override
+    public void recordSpent() {
         mCounters.recordSpent();
     }
 
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -25,7 +25,7 @@
 final class RoutedCall implements BodySink, AttemptListener, CallEnding {
     private static final long DEADLINE_GRACE_MILLIS = 10;
 
-    private final Router mRouter;
+    private final CallEnvironment mEnvironment;
     private final CallIdentity mIdentity;
     private final OverloadDecision mOverload;
     private final EventExecutor mExecutor;
@@ -39,26 +39,26 @@
     private boolean mQuotaRenewing;
 
     RoutedCall(
-            final Router router,
+            final CallEnvironment environment,
             final Optional<CallerPermit> permit,
             final Route route,
             final CallHead head,
             final EventExecutor executor,
             final ResponseSink sink,
             final OverloadDecision overload) {
-        mRouter = router;
-        mIdentity = new CallIdentity(router, route, head, permit, overload.isBoosted());
+        mEnvironment = environment;
+        mIdentity = new CallIdentity(environment, route, head, permit, overload.isBoosted());
         mOverload = overload;
         mExecutor = executor;
         mPlan = CallPlan.of(head.timeoutMillis(), head.objectiveMillis(), route.attempts());
-        final CallRetries retries = new CallRetries(router, route, head.service(), mPlan);
-        mResponse = new CallerResponse(route, mIdentity, mPlan, overload, sink, this::onFinished);
+        final CallRetries retries = new CallRetries(environment, route, head.service(), mPlan);
+        final CallContext call = new CallContext(environment, route, executor, mIdentity, mPlan);
+        mResponse = new CallerResponse(call, overload, sink, this::onFinished);
         mAttempts = new CallAttempts(mPlan, retries, mResponse::addToTrail);
-        final CallContext call = new CallContext(router, route, executor, mIdentity, mPlan);
         mOffers =
                 new GateOffers(
                         call,
-                        new GateChooser(router, route, head, mPlan, overload.placement()),
+                        new GateChooser(environment, route, head, mPlan, overload.placement()),
                         retries,
                         mAttempts,
                         mResponse,
@@ -70,7 +70,7 @@
     // -- start and end
 
     void start() {
-        mRouter.callStarted(this, mIdentity.head().service());
+        mEnvironment.callStarted(this, mIdentity.head().service());
         mDeadline =
                 mExecutor.schedule(
                         this::onDeadline,
@@ -121,7 +121,7 @@
     private void onFinished() {
         mHeldBody.release();
         mDeadline.cancel(false);
-        mRouter.callEnded(this, mPlan.offers());
+        mEnvironment.callEnded(this, mPlan.offers());
     }
 
     private void onDeadline() {
--- a/src/main/java/io/bilberrylane/node/Router.java
+++ b/src/main/java/io/bilberrylane/node/Router.java
@@ -41,7 +41,7 @@
 import java.util.function.Supplier;
 
 /** Selects targets for the calls of one ingress and opens the calls at their gates. */
-public final class Router implements CallRouter {
+public final class Router implements CallRouter, CallEnvironment {
     private static final long OUTCOME_TIMEOUT_MILLIS = 1_000;
 
     /**
@@ -154,22 +154,30 @@
         return call;
     }
 
+    @Override
+    public long nanoTime() {
+        return System.nanoTime();
+    }
+
     @Override
     public LocalRuns localRuns() {
         return mGate.calls().localRuns();
     }
 
-    Catalogue catalogue() {
+    @Override
+    public Catalogue catalogue() {
         return mConfiguration.catalogue();
     }
 
-    HeaderNames headerNames() {
+    @Override
+    public HeaderNames headerNames() {
         return mGate.headerNames();
     }
 
     // -- target selection
 
-    Optional<TargetRef> choose(
+    @Override
+    public Optional<TargetRef> choose(
             final Route route,
             final String service,
             final Collection<String> excluded,
@@ -234,11 +242,8 @@
         return isRegionAllowed && catalogue.isInService(candidate.host(), candidate.dataCentre());
     }
 
-    /**
-     * Returns the gate of a host that holds an idempotency key, whether or not the gate admits
-     * calls; empty if the host is unknown or dead.
-     */
-    Optional<TargetRef> keyHolder(final String host) {
+    @Override
+    public Optional<TargetRef> keyHolder(final String host) {
         final Optional<TargetRef> found =
                 mMembership
                         .member(host)
@@ -252,26 +257,28 @@
         return found;
     }
 
-    /** Returns after which time without a reply a gate counts as silent, in milliseconds. */
-    long silenceTimeoutMillis() {
+    @Override
+    public long silenceTimeoutMillis() {
         return mLock.get(mReplyTimes::timeoutMillis);
     }
 
-    /** Records how long a gate took to reply to an offer that could not queue. */
-    void recordReply(final long elapsedMillis) {
+    @Override
+    public void recordReply(final long elapsedMillis) {
         mLock.run(() -> mReplyTimes.recordReply(elapsedMillis));
     }
 
-    /** Records that a gate has not replied in time. */
-    void recordSilence() {
+    @Override
+    public void recordSilence() {
         mLock.run(mReplyTimes::recordTimeout);
     }
 
-    boolean isRemote(final TargetRef target) {
+    @Override
+    public boolean isRemote(final TargetRef target) {
         return !target.candidate().dataCentre().equals(mIdentity.dataCentre());
     }
 
-    CallOpener opener(final TargetRef target) {
+    @Override
+    public CallOpener opener(final TargetRef target) {
         if (target.candidate().host().equals(mIdentity.host())) {
             return mGate::openLocal;
         }
@@ -286,18 +293,20 @@
         return mOverload;
     }
 
-    /** Returns what a call takes from the limit of its organisation. */
-    CallQuota quota(final CallHead head) {
+    @Override
+    public CallQuota quota(final CallHead head) {
         return new CallQuota(mQuotas, head);
     }
 
-    String nextCallId() {
+    @Override
+    public String nextCallId() {
         return mCallIdPrefix + Long.toString(mNextCall.incrementAndGet(), 36);
     }
 
     // -- calls in progress
 
-    void callStarted(final RoutedCall call, final String service) {
+    @Override
+    public void callStarted(final RoutedCall call, final String service) {
         mCallsInProgress.add(call);
         final double repeatProbability = mGate.calls().repeatProbability();
         mLock.run(
@@ -306,22 +315,16 @@
                                 service, mBounds.get(), repeatProbability, System.nanoTime()));
     }
 
-    /**
-     * Returns the mean service time of a route at the targets of a service, in milliseconds; 0 if
-     * unknown.
-     */
-    long meanServiceMillis(final Route route, final String service) {
+    @Override
+    public long meanServiceMillis(final Route route, final String service) {
         final List<Candidate> candidates = candidates(mMembership.targets(service));
         return Math.round(
                 mLock.get(() -> mLoads.meanServiceMicros(candidates, route.id()).orElse(0))
                         / 1_000);
     }
 
-    /**
-     * Returns whether a service has an accepting target outside the excluded hosts that the route
-     * allows.
-     */
-    boolean hasOtherTarget(
+    @Override
+    public boolean hasOtherTarget(
             final Route route, final String service, final Collection<String> excluded) {
         final Catalogue catalogue = mConfiguration.catalogue();
         return mMembership.targets(service).stream()
@@ -332,8 +335,8 @@
                                         && isAllowed(catalogue, route, candidate));
     }
 
-    /** Takes a retry from the budget of a service; returns false if the budget is exhausted. */
-    boolean tryAcquireRetry(final String service) {
+    @Override
+    public boolean tryAcquireRetry(final String service) {
         final int ingressCount = mMembership.presentCount();
         return mLock.get(
                 () ->
@@ -349,7 +352,8 @@
                                 mBounds.get(), ingressCount, System.nanoTime()));
     }
 
-    void callEnded(final RoutedCall call, final int offers) {
+    @Override
+    public void callEnded(final RoutedCall call, final int offers) {
         mCallsInProgress.remove(call);
         mOverload.recordEnd(offers);
     }
@@ -370,22 +374,19 @@
 
     // -- load feedback
 
-    void recordLoad(
+    @Override
+    public void recordLoad(
             final TargetRef target, final String service, final int route, final TargetLoad load) {
         mOverload.recordLoad(service, target.candidate(), load);
         mLock.run(
                 () -> mLoads.recordLoad(target.candidate().host(), route, load, System.nanoTime()));
     }
 
-    void recordCompletion(final TargetRef target) {
+    @Override
+    public void recordCompletion(final TargetRef target) {
         mLock.run(() -> mLoads.recordCompletion(target.candidate().host()));
     }
 
-    /** Marks a gate that did not respond, so that it gets no calls for a short time. */
-    void markSilent(final TargetRef target, final String service, final int route) {
-        recordLoad(target, service, route, TargetLoad.ABSENT);
-    }
-
     private void recordRoundTrip(final InetSocketAddress address, final long nanos) {
         mPeerDataCentres
                 .dataCentreOf(address)
@@ -399,13 +400,8 @@
 
     // -- unknown outcomes
 
-    /**
-     * Queries the outcome of a call from its gate. A call that has not started yet never starts
-     * there afterwards.
-     *
-     * @param gateIncarnation the incarnation of the gate's process that received the call
-     */
-    void resolveOutcome(
+    @Override
+    public void resolveOutcome(
             final TargetRef target,
             final String callId,
             final long gateIncarnation,
