Give a call at an ingress one next step at a time

Cause: an offer that was put off, for a pause or for a token of a limit, went on if the call was not in service then. It did not ask whether it was still the latest step. With a silent gate kept open: the gate admits late, its attempt fails, the call is offered again, and the old step makes one more offer. The second attempt replaced the first one, which stayed open, and both moved bytes to the caller.

Ruled out: the framing of targets' answers (both answers were whole), and a connection that is used again (the trails of the calls show two offers).

Change: CallAttempts holds one state: an offer is due, at a gate, ended. Whoever offers the call needs the turn of the due offer; a new decision replaces the turn, so an older continuation has nothing to offer with. An attempt cannot be replaced while it is open, and the end of a call withdraws it everywhere. Bytes and credit name their attempt and count only if it is the present one. A token is reserved once; a later wait takes over the answer of an earlier one, and a token whose step is lost goes back.

--- a/src/main/java/io/bilberrylane/node/AttemptListener.java
+++ b/src/main/java/io/bilberrylane/node/AttemptListener.java
@@ -22,7 +22,7 @@
     void onHead(GateAttempt attempt, ResponseHead head);
 
     /** A part of the response body, which the listener releases. */
-    void onData(ByteBuf bytes);
+    void onData(GateAttempt attempt, ByteBuf bytes);
 
     /** The attempt has ended: the response is complete. */
     void onEnd(GateAttempt attempt, TargetLoad load);
@@ -34,5 +34,5 @@
     void onFailed(GateAttempt attempt, ErrorCode code, CallPhase phase);
 
     /** The gate can receive more of the request body. */
-    void onCredit(int bytes);
+    void onCredit(GateAttempt attempt, int bytes);
 }
--- a/src/main/java/io/bilberrylane/node/CallAttempts.java
+++ b/src/main/java/io/bilberrylane/node/CallAttempts.java
@@ -1,19 +1,30 @@
 package io.bilberrylane.node;
 
+import com.google.common.base.Preconditions;
 import io.bilberrylane.outcome.CallPhase;
 import io.bilberrylane.policy.CallPlan;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
- * The attempts of one call that are open: the current one, and while it has not been admitted that
- * at a silent gate. Confined to the event loop of the call.
+ * Where one call is: its next offer is due, or it is at a gate, or it has ended. Beside that, a
+ * silent gate may have it until another one admits it. Confined to the event loop of the call.
  */
 final class CallAttempts {
+    private sealed interface State {
+        /** The holder of the turn offers the call to the next gate. */
+        record OfferDue(OfferTurn turn) implements State {}
+
+        /** The call is or was at a gate; what follows its end has not begun. */
+        record AtGate(GateAttempt attempt) implements State {}
+
+        record Ended() implements State {}
+    }
+
     private final CallPlan mPlan;
     private final CallRetries mRetries;
     private final Consumer<String> mTrail;
-    private GateAttempt mCurrent;
+    private State mState = new State.OfferDue(new OfferTurn());
 
     /** The attempt at a silent gate that stays open until another gate admits the call. */
     private Optional<GateAttempt> mSilent = Optional.empty();
@@ -31,24 +42,62 @@
         mTrail = trail;
     }
 
-    // -- current attempt
+    // -- offers
 
-    void setCurrent(final GateAttempt attempt) {
-        mCurrent = attempt;
+    /**
+     * Returns the turn for the next offer; earlier turns are lost.
+     *
+     * @throws IllegalStateException if the attempt at the present gate is open
+     */
+    OfferTurn nextTurn() {
+        Preconditions.checkState(openAttempt().isEmpty(), "the call is at a gate");
+        final OfferTurn turn = new OfferTurn();
+        if (!(mState instanceof State.Ended)) {
+            mState = new State.OfferDue(turn);
+        }
+        return turn;
     }
 
-    /** Returns the last attempt, which may have ended; null before the first one. */
-    GateAttempt current() {
-        return mCurrent;
+    /** Returns whether the holder of a turn may offer the call. */
+    boolean isValid(final OfferTurn turn) {
+        return mState instanceof State.OfferDue due && due.turn() == turn;
     }
 
-    boolean isCurrentOpen() {
-        return mCurrent != null && mCurrent.isOpen();
+    /**
+     * Offers the call to a gate and thereby uses the turn up.
+     *
+     * @throws IllegalStateException if the turn is not valid
+     */
+    void open(final OfferTurn turn, final GateAttempt attempt, final long queueTimeoutMillis) {
+        Preconditions.checkState(isValid(turn), "the turn is lost");
+        mState = new State.AtGate(attempt);
+        attempt.open(queueTimeoutMillis);
     }
 
-    /** Returns whether a gate has admitted the call and its attempt is open. */
-    boolean isInService() {
-        return mCurrent != null && mCurrent.isInService();
+    // -- present attempt
+
+    /** Returns whether an attempt is the one at the present gate. */
+    boolean isCurrent(final GateAttempt attempt) {
+        return mState instanceof State.AtGate atGate && atGate.attempt() == attempt;
+    }
+
+    /** Returns the attempt at the present gate if it is open. */
+    Optional<GateAttempt> openAttempt() {
+        return mState instanceof State.AtGate atGate && atGate.attempt().isOpen()
+                ? Optional.of(atGate.attempt())
+                : Optional.empty();
+    }
+
+    /** Returns the open attempt at the present gate if the gate has admitted the call. */
+    Optional<GateAttempt> attemptInService() {
+        return openAttempt().filter(GateAttempt::isInService);
+    }
+
+    /** Withdraws the call from all gates; no offer follows. */
+    void end() {
+        abandonSilent();
+        openAttempt().ifPresent(GateAttempt::abandon);
+        mState = new State.Ended();
     }
 
     // -- runs
@@ -73,12 +122,16 @@
 
     // -- silent gate
 
-    /** Keeps an attempt open while the call is offered to another gate. */
-    void keepSilent(final GateAttempt attempt) {
+    /** Keeps the present attempt open beside the next offer, whose turn is returned. */
+    OfferTurn keepSilent(final GateAttempt attempt) {
+        Preconditions.checkState(isCurrent(attempt), "another attempt is the present one");
         abandonSilent();
         mSilent = Optional.of(attempt);
         recordRun(attempt);
         mRetries.keepGrant();
+        final OfferTurn turn = new OfferTurn();
+        mState = new State.OfferDue(turn);
+        return turn;
     }
 
     /** Withdraws the call from the silent gate, whose target may have run it. */
@@ -91,7 +144,7 @@
         mSilent = Optional.empty();
     }
 
-    /** Withdraws the call from all gates but the one that has admitted it. */
+    /** Withdraws the call from all gates but the one that has admitted it; ends a pending offer. */
     void keepOnly(final GateAttempt admitted) {
         if (mSilent.isEmpty()) {
             return;
@@ -103,12 +156,15 @@
         mSilent = Optional.empty();
         mTrail.accept("late-admission");
         admitted.markAdmitted();
-        if (mCurrent != admitted && mCurrent.abandon()) {
-            // The gate may have admitted the call before it was withdrawn.
-            mMayHaveRun = true;
-            recordRun(mCurrent);
-        }
-        mCurrent = admitted;
+        openAttempt().ifPresent(this::abandonUnadmitted);
+        mState = new State.AtGate(admitted);
+    }
+
+    /** Withdraws the call from a gate that may have admitted it before it learns of that. */
+    private void abandonUnadmitted(final GateAttempt attempt) {
+        attempt.abandon();
+        mMayHaveRun = true;
+        recordRun(attempt);
     }
 
     /**
@@ -121,7 +177,7 @@
         if (mSilent.isEmpty()) {
             return false;
         }
-        mCurrent = mSilent.get();
+        mState = new State.AtGate(mSilent.get());
         mSilent = Optional.empty();
         mTrail.accept("resumed");
         return true;
--- a/src/main/java/io/bilberrylane/node/CallFailover.java
+++ b/src/main/java/io/bilberrylane/node/CallFailover.java
@@ -78,14 +78,16 @@
         if (mayHaveRun && !tryFailover(attempt.host())) {
             return;
         }
+        final OfferTurn turn;
         if (mayHaveRun) {
-            mAttempts.keepSilent(attempt);
+            turn = mAttempts.keepSilent(attempt);
             mIdentity.quota().commit();
         } else {
             attempt.abandon();
             mPlan.recordAbsence(attempt.host());
+            turn = mAttempts.nextTurn();
         }
-        mOffers.offerNext(Refusal.of(ErrorCode.LINK_LOST));
+        mOffers.offerNext(turn, Refusal.of(ErrorCode.LINK_LOST));
     }
 
     /**
@@ -154,7 +156,7 @@
                     default -> false;
                 };
         if (canRetryHelp && !mBody.isSent()) {
-            mOffers.offerNext(refusal);
+            mOffers.offerNext(mAttempts.nextTurn(), refusal);
         } else {
             mEnding.refuse(refusal);
         }
@@ -191,7 +193,7 @@
         final boolean canRunAgain =
                 !mBody.isSent() && !mResponse.isHeadForwarded() && mPlan.canRunAgain();
         if (canRunAgain && (head().idempotent() || phase.isNotRun())) {
-            mOffers.offerNext(Refusal.of(code));
+            mOffers.offerNext(mAttempts.nextTurn(), Refusal.of(code));
         } else if (isResolvable && !phase.isNotRun() && !mResponse.isHeadForwarded()) {
             queryOutcome(attempt);
         } else {
@@ -221,7 +223,7 @@
         mResponse.addToTrail("outcome/" + phase);
         mAttempts.recordMayHaveRun(!phase.isNotRun());
         if (phase.isNotRun() && !mBody.isSent() && mPlan.canRunAgain()) {
-            mOffers.offerNext(Refusal.of(ErrorCode.LINK_LOST));
+            mOffers.offerNext(mAttempts.nextTurn(), Refusal.of(ErrorCode.LINK_LOST));
         } else {
             mEnding.fail(ErrorCode.LINK_LOST, phase);
         }
--- a/src/main/java/io/bilberrylane/node/CallQuota.java
+++ b/src/main/java/io/bilberrylane/node/CallQuota.java
@@ -4,6 +4,7 @@
 import io.bilberrylane.policy.QuotaAnswer;
 import io.bilberrylane.policy.QuotaPlan;
 import io.netty.util.concurrent.EventExecutor;
+import java.util.Optional;
 import java.util.function.LongConsumer;
 
 /**
@@ -22,9 +23,13 @@
 
     private final TokenSource mTokens;
     private final String mOrganisation;
+    private Optional<Reservation> mReservation = Optional.empty();
     private boolean mHeld;
     private long mExpiryNanos;
 
+    /** What follows the answer to a reservation. */
+    private record Reservation(Runnable onGranted, LongConsumer onRefused) {}
+
     /** A call that a target makes on behalf of a request that it runs takes nothing. */
     CallQuota(final TokenSource tokens, final CallHead head) {
         mTokens = tokens;
@@ -58,23 +63,32 @@
     }
 
     /**
-     * Reserves a token. One of the consumers is called, at once or later, on the executor.
+     * Reserves a token. One of the consumers is called, at once or later, on the executor. If an
+     * earlier reservation has no answer yet, these consumers get its answer in place of the earlier
+     * ones.
      *
      * @param onRefused receives the time after which a retry may succeed, in milliseconds
      */
     void reserve(
             final EventExecutor executor, final Runnable onGranted, final LongConsumer onRefused) {
-        mTokens.reserve(mOrganisation, executor, answer -> onAnswer(answer, onGranted, onRefused));
+        final boolean isPending = mReservation.isPresent();
+        mReservation = Optional.of(new Reservation(onGranted, onRefused));
+        if (!isPending) {
+            mTokens.reserve(mOrganisation, executor, this::onAnswer);
+        }
     }
 
-    private void onAnswer(
-            final QuotaAnswer answer, final Runnable onGranted, final LongConsumer onRefused) {
+    private void onAnswer(final QuotaAnswer answer) {
+        final Reservation reservation = mReservation.orElseThrow();
+        mReservation = Optional.empty();
         if (answer.granted()) {
             mHeld = true;
             mExpiryNanos = answer.expiryNanos();
-            onGranted.run();
+            reservation.onGranted().run();
         } else {
-            onRefused.accept((answer.retryAfterNanos() + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
+            reservation
+                    .onRefused()
+                    .accept((answer.retryAfterNanos() + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
         }
     }
 
--- a/src/main/java/io/bilberrylane/node/GateAttempt.java
+++ b/src/main/java/io/bilberrylane/node/GateAttempt.java
@@ -231,7 +231,7 @@
                     if (mClosed || mDiscardingResponse) {
                         bytes.release();
                     } else {
-                        mListener.onData(bytes);
+                        mListener.onData(this, bytes);
                     }
                 });
     }
@@ -268,6 +268,6 @@
 
     @Override
     public void onCredit(final int bytes) {
-        runIfOpen(() -> mListener.onCredit(bytes));
+        runIfOpen(() -> mListener.onCredit(this, bytes));
     }
 }
--- a/src/main/java/io/bilberrylane/node/GateOffers.java
+++ b/src/main/java/io/bilberrylane/node/GateOffers.java
@@ -51,12 +51,16 @@
     }
 
     /**
-     * Offers the call to the next gate, at once or later.
+     * Offers the call to the next gate, at once or later, while the turn is valid.
      *
+     * @param turn the right to make the offer
      * @param fallback the reason that is reported if no gate is available; it may name the gate
      *     that holds the idempotency key of the call
      */
-    void offerNext(final Refusal fallback) {
+    void offerNext(final OfferTurn turn, final Refusal fallback) {
+        if (!mAttempts.isValid(turn)) {
+            return;
+        }
         final long elapsedMillis = mResponse.elapsedMillis();
         if (elapsedMillis >= mIdentity.head().timeoutMillis()) {
             mOnRefused.accept(Refusal.of(ErrorCode.DEADLINE_EXCEEDED));
@@ -68,25 +72,25 @@
             mResponse.addToTrail("budget");
             mOnRefused.accept(fallback);
         } else if (!mIdentity.quota().isReady()) {
-            reserveQuota(fallback);
+            reserveQuota(turn, fallback);
         } else {
-            offerNow(fallback, elapsedMillis);
+            offerNow(turn, fallback, elapsedMillis);
         }
     }
 
-    private void offerNow(final Refusal fallback, final long elapsedMillis) {
+    private void offerNow(final OfferTurn turn, final Refusal fallback, final long elapsedMillis) {
         final Optional<TargetRef> target =
                 fallback.holder().isEmpty()
                         ? mChooser.choose(mResponse.elapsedMillis())
                         : mCall.environment().keyHolder(fallback.holder());
         if (target.isPresent()) {
-            open(target.get(), elapsedMillis);
+            open(turn, target.get(), elapsedMillis);
         } else {
-            refuseOrRetryLater(fallback);
+            refuseOrRetryLater(turn, fallback);
         }
     }
 
-    private void open(final TargetRef target, final long elapsedMillis) {
+    private void open(final OfferTurn turn, final TargetRef target, final long elapsedMillis) {
         final CallEnvironment environment = mCall.environment();
         final CallHead head = mIdentity.head();
         final long meanServiceMillis = environment.meanServiceMillis(mCall.route(), head.service());
@@ -107,24 +111,23 @@
                         lastResort);
         final GateAttempt next =
                 new GateAttempt(environment, mCall.executor(), target, offered, mListener);
-        mAttempts.setCurrent(next);
-        next.open(queueTimeoutMillis);
+        mAttempts.open(turn, next, queueTimeoutMillis);
     }
 
     /** Reserves a call of the organisation's limit, then goes on with the offer. */
-    private void reserveQuota(final Refusal fallback) {
+    private void reserveQuota(final OfferTurn turn, final Refusal fallback) {
         final CallQuota quota = mIdentity.quota();
         quota.reserve(
                 mCall.executor(),
                 () -> {
-                    if (isSettled()) {
-                        quota.release();
+                    if (mAttempts.isValid(turn)) {
+                        offerNext(turn, fallback);
                     } else {
-                        offerNext(fallback);
+                        quota.release();
                     }
                 },
                 retryAfterMillis -> {
-                    if (!isSettled()) {
+                    if (mAttempts.isValid(turn)) {
                         mResponse.addToTrail("quota");
                         mOnRefused.accept(
                                 mPlan.runs() > 0
@@ -139,7 +142,7 @@
      * Ends an offer for which no gate is available. Schedules another one if the plan allows it and
      * less than half of the objective will have passed by then; otherwise refuses the call.
      */
-    private void refuseOrRetryLater(final Refusal refusal) {
+    private void refuseOrRetryLater(final OfferTurn turn, final Refusal refusal) {
         final boolean hasTime =
                 mResponse.elapsedMillis() + RETRY_PAUSE_MILLIS
                         < mIdentity.head().objectiveMillis() / 2;
@@ -149,20 +152,6 @@
         }
         mCall.executor()
                 .schedule(
-                        () -> {
-                            if (!isSettled()) {
-                                offerNext(refusal);
-                            }
-                        },
-                        RETRY_PAUSE_MILLIS,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    /**
-     * Returns whether no further offer is due: the call has ended, or the silent gate has admitted
-     * it meanwhile.
-     */
-    private boolean isSettled() {
-        return mResponse.isFinished() || mAttempts.isInService();
+                        () -> offerNext(turn, refusal), RETRY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -36,7 +36,9 @@
     private final CallFailover mFailover;
     private ScheduledFuture<?> mDeadline;
     private final HeldBody mHeldBody = new HeldBody();
-    private boolean mQuotaRenewing;
+
+    /** The attempt whose body waits for another call of the limit; null if there is none. */
+    private GateAttempt mQuotaRenewal;
 
     RoutedCall(
             final CallEnvironment environment,
@@ -83,7 +85,7 @@
         if (mOverload.isShortOfCapacity()) {
             mPlan.assumeShortCapacity(mIdentity.head().nested());
         }
-        mOffers.offerNext(Refusal.of(ErrorCode.NO_TARGET));
+        mOffers.offerNext(mAttempts.nextTurn(), Refusal.of(ErrorCode.NO_TARGET));
     }
 
     /**
@@ -119,6 +121,7 @@
     }
 
     private void onFinished() {
+        mAttempts.end();
         mHeldBody.release();
         mDeadline.cancel(false);
         mEnvironment.callEnded(this, mPlan.offers());
@@ -129,12 +132,11 @@
             return;
         }
         mAttempts.abandonSilent();
-        if (!mAttempts.isCurrentOpen()) {
+        if (mAttempts.openAttempt().isEmpty()) {
             refuse(Refusal.of(ErrorCode.DEADLINE_EXCEEDED));
-            return;
+        } else {
+            fail(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
         }
-        mAttempts.current().abandon();
-        fail(ErrorCode.TARGET_TIMEOUT, CallPhase.STARTED);
     }
 
     /**
@@ -149,10 +151,7 @@
                     }
                     mResponse.addToTrail("node-ends");
                     mAttempts.abandonSilent();
-                    final boolean isOffered = mAttempts.isCurrentOpen();
-                    if (isOffered) {
-                        mAttempts.current().abandon();
-                    }
+                    final boolean isOffered = mAttempts.openAttempt().isPresent();
                     if (mFailover.isOutcomePending()
                             || isOffered && !(mIdentity.head().hasBody() && !mHeldBody.isSent())) {
                         fail(ErrorCode.LEAVING, CallPhase.STARTED);
@@ -184,42 +183,40 @@
 
     /** Sends the body to the gate that has admitted the call; another one gets nothing of it. */
     private void sendHeldBody() {
-        if (!mAttempts.isInService() || mHeldBody.isEmpty()) {
+        final Optional<GateAttempt> attempt = mAttempts.attemptInService();
+        if (attempt.isEmpty() || mHeldBody.isEmpty()) {
             return;
         }
         if (mIdentity.head().hasBody() && !mHeldBody.isSent()) {
             if (!mIdentity.quota().mayArrive()) {
-                renewQuota();
+                renewQuota(attempt.get());
                 return;
             }
             mIdentity.quota().commit();
         }
-        mHeldBody.sendTo(mAttempts.current().body());
+        mHeldBody.sendTo(attempt.get().body());
     }
 
     /** Reserves another call of the limit, because the body begins after the token has expired. */
-    private void renewQuota() {
-        if (mQuotaRenewing) {
+    private void renewQuota(final GateAttempt attempt) {
+        if (mQuotaRenewal == attempt) {
             return;
         }
-        mQuotaRenewing = true;
-        final GateAttempt attempt = mAttempts.current();
+        mQuotaRenewal = attempt;
         final CallQuota quota = mIdentity.quota();
         quota.reserve(
                 mExecutor,
                 () -> {
-                    mQuotaRenewing = false;
-                    if (mResponse.isFinished()) {
-                        quota.release();
-                    } else {
+                    mQuotaRenewal = null;
+                    if (mAttempts.isCurrent(attempt)) {
                         sendHeldBody();
+                    } else {
+                        quota.release();
                     }
                 },
                 retryAfterMillis -> {
-                    mQuotaRenewing = false;
-                    if (!mResponse.isFinished()
-                            && attempt == mAttempts.current()
-                            && attempt.abandon()) {
+                    mQuotaRenewal = null;
+                    if (mAttempts.isCurrent(attempt) && attempt.abandon()) {
                         mResponse.addToTrail("quota");
                         refuse(new Refusal(ErrorCode.QUOTA_EXCEEDED, retryAfterMillis, ""));
                     }
@@ -228,20 +225,15 @@
 
     @Override
     public void cancel() {
-        if (mAttempts.isCurrentOpen()) {
+        if (mAttempts.openAttempt().isPresent()) {
             mIdentity.quota().commit();
         }
-        if (mResponse.endWithoutCaller() && mAttempts.current() != null) {
-            mAttempts.abandonSilent();
-            mAttempts.current().abandon();
-        }
+        mResponse.endWithoutCaller();
     }
 
     @Override
     public void credit(final int bytes) {
-        if (!mResponse.isFinished() && mAttempts.current() != null) {
-            mAttempts.current().body().credit(bytes);
-        }
+        mAttempts.openAttempt().ifPresent(attempt -> attempt.body().credit(bytes));
     }
 
     // -- events from the target
@@ -283,18 +275,25 @@
     }
 
     @Override
-    public void onData(final ByteBuf bytes) {
-        mResponse.forwardData(bytes);
+    public void onData(final GateAttempt attempt, final ByteBuf bytes) {
+        if (mAttempts.isCurrent(attempt)) {
+            mResponse.forwardData(bytes);
+        } else {
+            bytes.release();
+        }
     }
 
     @Override
     public void onEnd(final GateAttempt attempt, final TargetLoad load) {
+        if (mAttempts.endSilent(attempt, CallPhase.STARTED)) {
+            return;
+        }
         if (attempt.markRunRecorded()) {
             mPlan.recordRun(attempt.host());
         }
         if (attempt.isDiscardingResponse()) {
             mResponse.addToTrail("answer-dropped");
-            mOffers.offerNext(Refusal.of(ErrorCode.TARGET_REFUSED));
+            mOffers.offerNext(mAttempts.nextTurn(), Refusal.of(ErrorCode.TARGET_REFUSED));
         } else {
             mResponse.end(load);
         }
@@ -315,7 +314,7 @@
             bytes.release();
             mAttempts.recordMayHaveRun(!head.notRun());
             mResponse.addToTrail("answer-dropped");
-            mOffers.offerNext(Refusal.of(ErrorCode.TARGET_REFUSED));
+            mOffers.offerNext(mAttempts.nextTurn(), Refusal.of(ErrorCode.TARGET_REFUSED));
         } else {
             mResponse.end(head, bytes, load);
         }
@@ -329,7 +328,9 @@
     }
 
     @Override
-    public void onCredit(final int bytes) {
-        mResponse.credit(bytes);
+    public void onCredit(final GateAttempt attempt, final int bytes) {
+        if (mAttempts.isCurrent(attempt)) {
+            mResponse.credit(bytes);
+        }
     }
 }
