Tell no caller that a call has not run while its gate is asked

Callers could see: "not run" for a request that runs. The link to the gate of a call that may run once is lost, the gate is asked for the outcome, and the deadline passes before it replies. A caller that sends the request again then runs it twice.

Change: CallAttempts knows that an outcome is awaited and then says that the call may have run; both paths ask it.

--- a/src/main/java/io/bilberrylane/node/CallAttempts.java
+++ b/src/main/java/io/bilberrylane/node/CallAttempts.java
@@ -30,6 +30,7 @@
     private Optional<GateAttempt> mSilent = Optional.empty();
 
     private boolean mMayHaveRun;
+    private boolean mOutcomePending;
 
     /**
      * Creates the attempts of a call that was not offered to any gate yet.
@@ -102,9 +103,23 @@
 
     // -- runs
 
-    /** Returns whether a target of an attempt that has ended may have run the call. */
+    /**
+     * Returns whether a target of an attempt that has ended may have run the call, as long as its
+     * gate has not said otherwise.
+     */
     boolean mayHaveRun() {
-        return mMayHaveRun;
+        return mMayHaveRun || mOutcomePending;
+    }
+
+    /** Records that the outcome of the last attempt is being queried from its gate. */
+    void awaitOutcome() {
+        mOutcomePending = true;
+    }
+
+    /** Records the outcome of the last attempt. */
+    void recordOutcome(final CallPhase phase) {
+        mOutcomePending = false;
+        recordMayHaveRun(!phase.isNotRun());
     }
 
     /** Records whether the target of an attempt that has ended may have run the call. */
--- a/src/main/java/io/bilberrylane/node/CallFailover.java
+++ b/src/main/java/io/bilberrylane/node/CallFailover.java
@@ -32,7 +32,6 @@
     private final HeldBody mBody;
     private final CallEnding mEnding;
     private boolean mKeyOutcomeKnown;
-    private boolean mOutcomePending;
 
     CallFailover(
             final CallContext call,
@@ -62,11 +61,6 @@
         return mKeyOutcomeKnown;
     }
 
-    /** Returns whether the outcome of the call is being queried from a gate. */
-    boolean isOutcomePending() {
-        return mOutcomePending;
-    }
-
     /** Offers the call to another gate, too, if the retry rules allow it; otherwise waits on. */
     void onSilence(final GateAttempt attempt) {
         if (mResponse.isFinished()) {
@@ -202,7 +196,7 @@
     }
 
     private void queryOutcome(final GateAttempt attempt) {
-        mOutcomePending = true;
+        mAttempts.awaitOutcome();
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
                 "link lost during call %s; querying its outcome from the gate", attempt.callId());
         mCall.environment()
@@ -219,9 +213,8 @@
         if (mResponse.isFinished()) {
             return;
         }
-        mOutcomePending = false;
         mResponse.addToTrail("outcome/" + phase);
-        mAttempts.recordMayHaveRun(!phase.isNotRun());
+        mAttempts.recordOutcome(phase);
         if (phase.isNotRun() && !mBody.isSent() && mPlan.canRunAgain()) {
             mOffers.offerNext(mAttempts.nextTurn(), Refusal.of(ErrorCode.LINK_LOST));
         } else {
--- a/src/main/java/io/bilberrylane/node/RoutedCall.java
+++ b/src/main/java/io/bilberrylane/node/RoutedCall.java
@@ -152,8 +152,7 @@
                     mResponse.addToTrail("node-ends");
                     mAttempts.abandonSilent();
                     final boolean isOffered = mAttempts.openAttempt().isPresent();
-                    if (mFailover.isOutcomePending()
-                            || isOffered && !(mIdentity.head().hasBody() && !mHeldBody.isSent())) {
+                    if (isOffered && !(mIdentity.head().hasBody() && !mHeldBody.isSent())) {
                         fail(ErrorCode.LEAVING, CallPhase.STARTED);
                     } else {
                         refuse(Refusal.of(ErrorCode.LEAVING));
