Route requests of the platform by the routes that its configuration lists

Cause: routes for the name and the hosts of each service belong to the project's own configuration format, but every catalogue got them; the field that selects a service belongs to its own interface, but was read on all.

Change: a catalogue has such routes only if the reader of the own format asks for them. The field is one of HeaderNames, and the platform's names have none: it reaches the target like any other field. The test format in LimitedFleet is read from the own format and asks for the routes, too.

--- a/src/main/java/io/bilberrylane/catalogue/Catalogue.java
+++ b/src/main/java/io/bilberrylane/catalogue/Catalogue.java
@@ -22,6 +22,7 @@
     private final Map<String, ServiceEntry> mEntriesByService;
     private final List<Route> mRoutes;
     private final List<UnusableRoute> mUnusableRoutes;
+    private final boolean mRoutesServiceNames;
     private final RouteTable mRouteTable;
     private final CallerLimits mCallerLimits;
     private final Set<String> mDataCentresOut;
@@ -35,6 +36,7 @@
             final Map<String, ServiceEntry> entries,
             final List<Route> routes,
             final List<UnusableRoute> unusableRoutes,
+            final boolean routesServiceNames,
             final CallerLimits callerLimits,
             final Set<String> dataCentresOut,
             final Set<String> targetsOut,
@@ -43,7 +45,11 @@
         mEntriesByService = entries;
         mRoutes = routes;
         mUnusableRoutes = unusableRoutes;
-        mRouteTable = RouteTable.of(withDefaultRoutes(routes, entries.values()), unusableRoutes);
+        mRoutesServiceNames = routesServiceNames;
+        mRouteTable =
+                RouteTable.of(
+                        routesServiceNames ? withDefaultRoutes(routes, entries.values()) : routes,
+                        unusableRoutes);
         mCallerLimits = callerLimits;
         mDataCentresOut = Set.copyOf(dataCentresOut);
         mTargetsOut = Set.copyOf(targetsOut);
@@ -97,6 +103,7 @@
         private final Map<String, ServiceEntry> mEntries = new LinkedHashMap<>();
         private final List<Route> mRoutes = new ArrayList<>();
         private final List<UnusableRoute> mUnusableRoutes = new ArrayList<>();
+        private boolean mRoutesServiceNames;
         private CallerLimits mCallerLimits = CallerLimits.DEFAULT;
         private Set<String> mDataCentresOut = Set.of();
         private Set<String> mTargetsOut = Set.of();
@@ -139,6 +146,16 @@
             return this;
         }
 
+        /**
+         * Routes the name and the hosts of each entry to its service, without listed routes.
+         *
+         * @return this builder
+         */
+        public Builder routeServiceNames() {
+            mRoutesServiceNames = true;
+            return this;
+        }
+
         /**
          * Sets the limits on callers' requests.
          *
@@ -195,6 +212,7 @@
                     Map.copyOf(mEntries),
                     List.copyOf(mRoutes),
                     List.copyOf(mUnusableRoutes),
+                    mRoutesServiceNames,
                     mCallerLimits,
                     mDataCentresOut,
                     mTargetsOut,
@@ -226,6 +244,7 @@
                 mEntriesByService,
                 mRoutes,
                 mUnusableRoutes,
+                mRoutesServiceNames,
                 mCallerLimits,
                 all,
                 mTargetsOut,
--- a/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
+++ b/src/main/java/io/bilberrylane/catalogue/CatalogueReader.java
@@ -54,7 +54,7 @@
         if (!schema.isEmpty() && !schema.equals(String.valueOf(SCHEMA))) {
             root.error(root.place("schema"), "unknown-schema", "schema must be " + SCHEMA);
         }
-        final Catalogue.Builder builder = Catalogue.builder();
+        final Catalogue.Builder builder = Catalogue.builder().routeServiceNames();
         final Set<String> services = new HashSet<>();
         for (final PlacedNode node : root.items("services")) {
             MappingReader.of(node, "a service", mFindings)
--- a/src/main/java/io/bilberrylane/http/HeaderNames.java
+++ b/src/main/java/io/bilberrylane/http/HeaderNames.java
@@ -10,6 +10,7 @@
 /**
  * The header fields that nodes, callers and targets exchange.
  *
+ * @param service names the service of a request whose Host field does not; empty if no field does
  * @param requestId the ID of a request; a target repeats it in its response
  * @param timeoutMillis the time that remains for a request, in milliseconds
  * @param targetId the target that a request is for; where {@code responseTargetId} is the same
@@ -27,6 +28,7 @@
  * @param fractionalRetryAfter whether callers accept fractions of a second in Retry-After
  */
 public record HeaderNames(
+        String service,
         String requestId,
         String timeoutMillis,
         String targetId,
@@ -48,6 +50,7 @@
     /** The header fields of the project's own interface. */
     public static final HeaderNames OWN =
             new HeaderNames(
+                    Headers.SERVICE,
                     Headers.CALL_ID,
                     Headers.TIMEOUT_MILLIS,
                     "Bilberrylane-Target-Id",
@@ -65,6 +68,7 @@
 
     /** Checks that no name is null and copies the statuses. */
     public HeaderNames {
+        Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(requestId, "requestId is null");
         Objects.requireNonNull(timeoutMillis, "timeoutMillis is null");
         Objects.requireNonNull(targetId, "targetId is null");
@@ -123,8 +127,8 @@
         return Stream.of(
                         "Content-Length",
                         "Host",
+                        service,
                         Headers.IDEMPOTENCY_KEY,
-                        Headers.SERVICE,
                         requestId,
                         timeoutMillis,
                         targetId,
--- a/src/main/java/io/bilberrylane/http/InboundHead.java
+++ b/src/main/java/io/bilberrylane/http/InboundHead.java
@@ -42,8 +42,9 @@
 
     /** Returns the host name by which the route is found. */
     String host() {
-        return mRequest.headers()
-                .get(Headers.SERVICE, mRequest.headers().get(HttpHeaderNames.HOST, ""));
+        final String host = mRequest.headers().get(HttpHeaderNames.HOST, "");
+        final String serviceField = mSettings.names().service();
+        return serviceField.isEmpty() ? host : mRequest.headers().get(serviceField, host);
     }
 
     /** Returns the path of the request, without the query. */
--- a/src/main/java/io/bilberrylane/platform/PlatformProfile.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformProfile.java
@@ -17,8 +17,12 @@
  * </ul>
  */
 public final class PlatformProfile {
+    /** In place of fields that only the project's own interface has. */
+    private static final String NO_FIELD = "";
+
     private static final HeaderNames HEADER_NAMES =
             new HeaderNames(
+                    NO_FIELD,
                     "X-Request-Id",
                     "X-Request-Deadline-Ms",
                     "X-Target-Instance",
--- a/src/test/java/io/bilberrylane/node/LimitedFleet.java
+++ b/src/test/java/io/bilberrylane/node/LimitedFleet.java
@@ -76,7 +76,7 @@
         @Override
         public CatalogueCheck check(final String place, final String text) {
             final Catalogue catalogue = own.check(place, text).orThrow();
-            final Catalogue.Builder builder = Catalogue.builder();
+            final Catalogue.Builder builder = Catalogue.builder().routeServiceNames();
             catalogue
                     .services()
                     .forEach(name -> builder.entry(catalogue.service(name).orElseThrow()));
--- /dev/null
+++ b/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
@@ -0,0 +1,86 @@
+package io.bilberrylane.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Features of the project's own interface do not act on requests of the users' platform. */
+final class PlatformInterfaceTest {
+    private final List<PlatformTarget.Request> mRuns = new CopyOnWriteArrayList<>();
+    private PlatformTarget mTarget;
+    private PlatformNode mNode;
+
+    @BeforeEach
+    void start() throws Exception {
+        mTarget =
+                PlatformTarget.start(
+                        request -> {
+                            mRuns.add(request);
+                            request.answer("answer to " + request.id());
+                        });
+        mNode = PlatformNode.beside(mTarget);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mNode.close();
+        mTarget.close();
+    }
+
+    private static String request(
+            final String method, final String host, final String path, final String fields) {
+        return PlatformNode.request(method, path, "id-1")
+                .replace("desk.example", host)
+                .replace("Connection: close\r\n", fields + "Connection: close\r\n");
+    }
+
+    @Nested
+    final class Routes {
+        // Guards against: a request that no route allows is run by a service, because its host is
+        // the name of the service (ROUTE), and repeated because of its method (TWICE).
+        @ParameterizedTest
+        @CsvSource({
+            "GET, desk, /never/1",
+            "DELETE, desk, /never/1",
+            "GET, DESK, /safe/1",
+            "GET, desk:80, /safe/1",
+            "GET, desk.example, /never/1"
+        })
+        void shouldNotRouteTheNameOfAService(
+                final String method, final String host, final String path) throws IOException {
+            final String answer = mNode.exchange(request(method, host, path, ""));
+            assertThat(answer).startsWith("HTTP/1.1 404");
+            assertThat(mRuns).isEmpty();
+        }
+
+        // Guards against: a field of the project's own interface sends a request to a service
+        // that its route does not name (ROUTE).
+        @Test
+        void shouldNotSelectTheServiceByAField() throws IOException {
+            final String fields = "Bilberrylane-Service: desk\r\n";
+            final String unrouted =
+                    mNode.exchange(request("GET", "nowhere.example", "/safe/1", fields));
+            assertThat(unrouted).startsWith("HTTP/1.1 404");
+            assertThat(mRuns).isEmpty();
+        }
+
+        // Guards against: a field that only the targets of the platform know takes a request off
+        // its route.
+        @Test
+        void shouldForwardTheFieldThatNamesAServiceOnTheOwnInterface() throws IOException {
+            final String fields = "Bilberrylane-Service: other\r\n";
+            final String routed = mNode.exchange(request("GET", "desk.example", "/safe/1", fields));
+            assertThat(routed).startsWith("HTTP/1.1 200");
+            assertThat(mRuns).hasSize(1);
+            assertThat(mRuns.get(0).field("Bilberrylane-Service")).isEqualTo("other");
+        }
+    }
+}
