Replace watchers of the configuration that the platform turns away

Cause: three watchers are selected from the names of the members alone. A watcher that cannot read keeps the duty while its peers see it alive, and nobody else asks the platform.

Ruled out: a slow relay between nodes; the other nodes never knew.

Change: a watcher probes the platform by a stale read, a tenth of the price of a call, every 0.4 s; two failures in succession, or none answered in 0.5 s, and its member record says that it cannot read. WatcherSelection passes over such nodes and selects two others for each of them, since those may be turned away as well. There are six watchers in place of three, more than a third of a dozen nodes. If the platform answers none of 18 nodes it is assumed to be down, and no further node asks. A node that cannot read probes once a second, and counts again after two answers in succession. Reading begins with a list. PlatformErrors.isOutage replaces the check in BackoffObjectStore.

--- a/src/main/java/io/bilberrylane/membership/Member.java
+++ b/src/main/java/io/bilberrylane/membership/Member.java
@@ -13,6 +13,7 @@
  * @param revision increases whenever the member itself changes its record
  * @param status the assumed status
  * @param target the node's local target, empty if none is announced
+ * @param readsPlatform whether the platform answers the node's reads, as far as the node has tried
  */
 public record Member(
         String host,
@@ -21,7 +22,8 @@
         long incarnation,
         long revision,
         MemberStatus status,
-        Optional<TargetRecord> target) {
+        Optional<TargetRecord> target,
+        boolean readsPlatform) {
     /** Checks that no component is null. */
     public Member {
         Objects.requireNonNull(host, "host is null");
@@ -31,6 +33,28 @@
         Objects.requireNonNull(target, "target is null");
     }
 
+    /**
+     * Creates the record of a node that reads the platform or has not tried.
+     *
+     * @param host the host name, unique in the fleet
+     * @param dataCentre the data centre of the node
+     * @param peerAddress the IP address and port for peers
+     * @param incarnation the start time of the process, in milliseconds since 1970
+     * @param revision increases whenever the member itself changes its record
+     * @param status the assumed status
+     * @param target the node's local target, empty if none is announced
+     */
+    public Member(
+            final String host,
+            final String dataCentre,
+            final String peerAddress,
+            final long incarnation,
+            final long revision,
+            final MemberStatus status,
+            final Optional<TargetRecord> target) {
+        this(host, dataCentre, peerAddress, incarnation, revision, status, target, true);
+    }
+
     /**
      * Returns whether this record replaces another of the same host. Compares the incarnations,
      * then the revisions, then the statuses.
@@ -55,7 +79,69 @@
      * @return the copy
      */
     public Member withStatus(final MemberStatus newStatus) {
-        return new Member(host, dataCentre, peerAddress, incarnation, revision, newStatus, target);
+        return new Member(
+                host,
+                dataCentre,
+                peerAddress,
+                incarnation,
+                revision,
+                newStatus,
+                target,
+                readsPlatform);
+    }
+
+    /**
+     * Returns a copy of the record with another revision.
+     *
+     * @param newRevision the revision of the copy
+     * @return the copy
+     */
+    public Member withRevision(final long newRevision) {
+        return new Member(
+                host,
+                dataCentre,
+                peerAddress,
+                incarnation,
+                newRevision,
+                status,
+                target,
+                readsPlatform);
+    }
+
+    /**
+     * Returns a copy of the record with another target.
+     *
+     * @param newTarget the target of the copy; empty if there is none
+     * @return the copy
+     */
+    public Member withTarget(final Optional<TargetRecord> newTarget) {
+        return new Member(
+                host,
+                dataCentre,
+                peerAddress,
+                incarnation,
+                revision,
+                status,
+                newTarget,
+                readsPlatform);
+    }
+
+    /**
+     * Returns a copy of the record that tells whether the platform answers.
+     *
+     * @param newReadsPlatform whether the platform answers the reads of the node
+     * @return the copy
+     */
+    public Member withReadsPlatform(final boolean newReadsPlatform) {
+        return new Member(
+                host,
+                dataCentre,
+                peerAddress,
+                incarnation,
+                revision,
+                status,
+                target,
+                newReadsPlatform);
     }
 
     /**
--- a/src/main/java/io/bilberrylane/membership/MemberTable.java
+++ b/src/main/java/io/bilberrylane/membership/MemberTable.java
@@ -113,7 +113,7 @@
      * @param nowNanos the current time of the monotonic clock, in nanoseconds
      */
     public void updateSelf(final Member changed, final long nowNanos) {
-        mSelf = withRevision(changed, mSelf.revision() + 1);
+        mSelf = changed.withRevision(mSelf.revision() + 1);
         store(mSelf, nowNanos);
     }
 
@@ -205,7 +205,7 @@
                         && update.status() != mSelf.status();
         if (contradicted) {
             mRefutationCount++;
-            mSelf = withRevision(mSelf, update.revision() + 1);
+            mSelf = mSelf.withRevision(update.revision() + 1);
             store(mSelf, nowNanos);
         }
     }
@@ -217,15 +217,4 @@
         entry.mTransmissions = 0;
         mChangeCount++;
     }
-
-    private static Member withRevision(final Member member, final long revision) {
-        return new Member(
-                member.host(),
-                member.dataCentre(),
-                member.peerAddress(),
-                member.incarnation(),
-                revision,
-                member.status(),
-                member.target());
-    }
 }
--- a/src/main/java/io/bilberrylane/node/BackoffObjectStore.java
+++ b/src/main/java/io/bilberrylane/node/BackoffObjectStore.java
@@ -2,11 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
-import io.bilberrylane.base.BilberrylaneException;
-import io.bilberrylane.base.ErrorCode;
 import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.platform.ObjectList;
 import io.bilberrylane.platform.ObjectStore;
+import io.bilberrylane.platform.PlatformErrors;
 import io.bilberrylane.platform.StoredObject;
 import io.bilberrylane.platform.WatchListener;
 import io.bilberrylane.policy.OutageBackoff;
@@ -140,7 +139,7 @@
     // -- outages
 
     private void onAnswer(final Throwable failure) {
-        if (failure != null && isOutage(failure)) {
+        if (failure != null && PlatformErrors.isOutage(failure)) {
             scheduleProbe();
             return;
         }
@@ -153,16 +152,6 @@
         }
     }
 
-    private static boolean isOutage(final Throwable failure) {
-        final Throwable cause =
-                failure instanceof CompletionException ? failure.getCause() : failure;
-        if (!(cause instanceof BilberrylaneException exception)) {
-            return true;
-        }
-        return exception.code() == ErrorCode.PLATFORM_UNAVAILABLE
-                || exception.code() == ErrorCode.PLATFORM_THROTTLED;
-    }
-
     private void scheduleProbe() {
         if (mProbePending) {
             return;
--- a/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
+++ b/src/main/java/io/bilberrylane/node/ConfigurationWatcher.java
@@ -1,24 +1,18 @@
 package io.bilberrylane.node;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.hash.Hashing;
 import io.bilberrylane.base.GuardedTask;
 import io.bilberrylane.catalogue.ConfigurationDocument;
 import io.bilberrylane.catalogue.ConfigurationFormat;
 import io.bilberrylane.catalogue.RolloutFormat;
-import io.bilberrylane.membership.Member;
-import io.bilberrylane.membership.MemberStatus;
+import io.bilberrylane.membership.WatcherSelection;
 import io.bilberrylane.net.Transport;
 import io.bilberrylane.peer.NodeIdentity;
 import io.bilberrylane.platform.ObjectEvent;
 import io.bilberrylane.platform.ObjectStore;
 import io.bilberrylane.platform.StoredObject;
-import java.nio.charset.StandardCharsets;
-import java.util.Comparator;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -29,11 +23,10 @@
 /**
  * Watches the configuration in the platform while this node is one of the few selected watchers,
  * which are in different data centres if there are enough of them. All other nodes receive changes
- * from peers.
+ * from peers. A watcher that the platform does not answer tells all nodes, and others take over.
  */
 final class ConfigurationWatcher {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int WATCHER_COUNT = 3;
     private static final long CHECK_INTERVAL_MILLIS = 200;
     private static final long STARTUP_CHECK_INTERVAL_MILLIS = 20;
 
@@ -67,6 +60,7 @@
     private final KindWatch mCatalogueWatch;
     private final Optional<KindWatch> mOutageWatch;
     private final Optional<KindWatch> mRolloutWatch;
+    private final PlatformAccessProbe mAccessProbe;
     private final Set<String> mOutages = new HashSet<>();
     private final IntSupplier mSeedCount;
     private final double mJitterFraction;
@@ -115,6 +109,12 @@
                                         RolloutFormat.KIND,
                                         new RolloutListener(configuration, membership)))
                         : Optional.empty();
+        mAccessProbe =
+                new PlatformAccessProbe(
+                        transport.group().next(),
+                        store,
+                        format.outageKind().orElse(format.kind()),
+                        membership::announceReadsPlatform);
     }
 
     void start() {
@@ -128,6 +128,7 @@
         mCatalogueWatch.stop();
         mOutageWatch.ifPresent(KindWatch::stop);
         mRolloutWatch.ifPresent(KindWatch::stop);
+        mAccessProbe.stop();
     }
 
     private void check() {
@@ -144,6 +145,7 @@
         mCatalogueWatch.setMode(mode);
         mOutageWatch.ifPresent(watch -> watch.setMode(mode));
         mRolloutWatch.ifPresent(watch -> watch.setMode(mode));
+        mAccessProbe.setNeeded(shouldWatch);
     }
 
     /** Checks often until the configuration is known, then with the other recurring tasks. */
@@ -187,42 +189,18 @@
     // -- watcher selection
 
     /**
-     * Returns whether this node is one of the selected watchers: the first hosts, by hash, of
-     * different data centres, then further hosts if there are fewer data centres than watchers. The
-     * selection is recomputed only after the membership has changed.
+     * Returns whether this node is one of the selected watchers. The selection is recomputed only
+     * after the membership has changed.
      */
     private boolean isWatcher() {
         final long changeCount = mMembership.changeCount();
         if (changeCount != mRankedAtChangeCount) {
             mRankedAtChangeCount = changeCount;
-            mIsWatcher = selectWatchers(mMembership.members()).contains(mIdentity.host());
+            mIsWatcher = WatcherSelection.select(mMembership.members()).contains(mIdentity.host());
         }
         return mIsWatcher;
     }
 
-    static Set<String> selectWatchers(final List<Member> members) {
-        final List<Member> ranked =
-                members.stream()
-                        .filter(member -> member.status() == MemberStatus.ALIVE)
-                        .sorted(Comparator.comparingLong(member -> weight(member.host())))
-                        .toList();
-        final Map<String, String> firstOfDataCentre = new LinkedHashMap<>();
-        ranked.forEach(member -> firstOfDataCentre.putIfAbsent(member.dataCentre(), member.host()));
-        final Set<String> chosen = new HashSet<>();
-        firstOfDataCentre.values().stream().limit(WATCHER_COUNT).forEach(chosen::add);
-        ranked.stream()
-                .map(Member::host)
-                .filter(host -> !chosen.contains(host))
-                .limit(Math.max(0, WATCHER_COUNT - chosen.size()))
-                .toList()
-                .forEach(chosen::add);
-        return chosen;
-    }
-
-    private static long weight(final String host) {
-        return Hashing.murmur3_128().hashString(host, StandardCharsets.UTF_8).asLong();
-    }
-
     // -- listeners
 
     private final class CatalogueListener implements KindWatch.Listener {
--- a/src/main/java/io/bilberrylane/node/KindWatch.java
+++ b/src/main/java/io/bilberrylane/node/KindWatch.java
@@ -90,12 +90,16 @@
         mListener = listener;
     }
 
-    /** Starts or stops reading. A later watch resumes from the last version. */
+    /** Starts or stops reading. Reading starts with a list. */
     void setMode(final Mode mode) {
         mLoop.execute(
                 () -> {
                     final Mode previous = mMode;
                     mMode = mode;
+                    if (previous == Mode.OFF && !mInProgress) {
+                        // What was read before may be older than the history of the platform.
+                        mVersion = -1;
+                    }
                     if (mode == Mode.OFF && previous != Mode.OFF) {
                         closeWatch();
                     } else if (mode != previous) {
--- a/src/main/java/io/bilberrylane/node/MembershipService.java
+++ b/src/main/java/io/bilberrylane/node/MembershipService.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
 /** Runs the SWIM membership protocol over UDP and maintains an index of targets by service. */
 public final class MembershipService implements AutoCloseable {
@@ -243,30 +244,25 @@
      * @param target the record of the target; empty if there is none
      */
     public void announceTarget(final Optional<TargetRecord> target) {
-        updateSelf(MemberStatus.ALIVE, target);
+        updateSelf(self -> self.withStatus(MemberStatus.ALIVE).withTarget(target));
     }
 
     /** Announces to all nodes that this node is leaving. */
     public void announceLeave() {
-        updateSelf(MemberStatus.LEFT, Optional.empty());
+        updateSelf(self -> self.withStatus(MemberStatus.LEFT).withTarget(Optional.empty()));
     }
 
-    private void updateSelf(final MemberStatus status, final Optional<TargetRecord> target) {
+    /** Announces to all nodes whether the platform answers the reads of this node. */
+    void announceReadsPlatform(final boolean readsPlatform) {
+        updateSelf(self -> self.withReadsPlatform(readsPlatform));
+    }
+
+    private void updateSelf(final UnaryOperator<Member> change) {
         updateTable(
                 () -> {
-                    final Member self = mTable.self();
-                    mTable.updateSelf(
-                            new Member(
-                                    self.host(),
-                                    self.dataCentre(),
-                                    self.peerAddress(),
-                                    self.incarnation(),
-                                    self.revision(),
-                                    status,
-                                    target),
-                            System.nanoTime());
+                    mTable.updateSelf(change.apply(mTable.self()), System.nanoTime());
                     mSwim.announceSelf();
-                    return self;
+                    return mTable.self();
                 });
         tickNow();
     }
--- a/src/main/java/io/bilberrylane/peer/ValueFormats.java
+++ b/src/main/java/io/bilberrylane/peer/ValueFormats.java
@@ -68,7 +68,7 @@
 
     static void writeMember(final Member member, final MessageBufferPacker packer)
             throws IOException {
-        packer.packArrayHeader(7)
+        packer.packArrayHeader(8)
                 .packString(member.host())
                 .packString(member.dataCentre())
                 .packString(member.peerAddress())
@@ -80,6 +80,7 @@
         } else {
             packer.packNil();
         }
+        packer.packBoolean(member.readsPlatform());
     }
 
     static Member readMember(final Value value) {
@@ -93,7 +94,8 @@
                 MemberStatus.values()[integer(parts, 5)],
                 parts.get(6).isNilValue()
                         ? Optional.empty()
-                        : Optional.of(readTarget(parts.get(6))));
+                        : Optional.of(readTarget(parts.get(6))),
+                parts.size() <= 7 || parts.get(7).asBooleanValue().getBoolean());
     }
 
     private static void writeTarget(final TargetRecord target, final MessageBufferPacker packer)
--- a/src/test/java/io/bilberrylane/node/KindWatchTest.java
+++ b/src/test/java/io/bilberrylane/node/KindWatchTest.java
@@ -198,4 +198,17 @@
         mWatch.setMode(KindWatch.Mode.UNTIL_KNOWN);
         assertThat(mStore.mWatchedFrom.poll(5, TimeUnit.SECONDS)).isEqualTo(5);
     }
+
+    // Guards against: a node that watches again after a long time misses what the platform no
+    // longer has in its history.
+    @Test
+    void shouldListWhenReadingBeginsAgain() throws Exception {
+        mWatch.setMode(KindWatch.Mode.WATCH);
+        assertThat(next(mDeliveredVersions)).isEqualTo(5);
+        mStore.mListener.onEvents(new ObjectEvents(8, List.of(new ObjectEvent(NEWER, false))));
+        assertThat(next(mDeliveredVersions)).isEqualTo(8);
+        mWatch.setMode(KindWatch.Mode.OFF);
+        mWatch.setMode(KindWatch.Mode.WATCH);
+        assertThat(next(mDeliveredVersions)).isEqualTo(5);
+    }
 }
--- a/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
+++ b/src/test/java/io/bilberrylane/peer/PeerCodecTest.java
@@ -31,6 +31,8 @@
 import net.jqwik.api.Provide;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.value.Value;
+import org.msgpack.value.ValueFactory;
 
 final class PeerCodecTest {
     private static final TargetLoad LOAD = new TargetLoad(3, 2, 6, 1500, true, 700, 5);
@@ -76,7 +78,8 @@
                                                 number,
                                                 number,
                                                 status,
-                                                target(host, number)));
+                                                target(host, number),
+                                                number % 2 == 0));
         return Arbitraries.oneOf(
                 Combinators.combine(small, text, large)
                         .as(
@@ -239,6 +242,20 @@
                                     5, "call", NodeIdentity.UNKNOWN_INCARNATION));
         }
 
+        @Example
+        void shouldAssumeThatAMemberReadsThePlatformWhenAnEarlierVersionSendsIt() {
+            final Value member =
+                    ValueFactory.newArray(
+                            ValueFactory.newString("host"),
+                            ValueFactory.newString("dc"),
+                            ValueFactory.newString("127.0.0.1:1"),
+                            ValueFactory.newInteger(1),
+                            ValueFactory.newInteger(2),
+                            ValueFactory.newInteger(MemberStatus.ALIVE.ordinal()),
+                            ValueFactory.newNil());
+            assertThat(ValueFormats.readMember(member).readsPlatform()).isTrue();
+        }
+
         @Example
         void shouldNameTheTypeWhenItIsUnknown() throws IOException {
             final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
