Forward Idempotency-Key on the platform's interface like any other field

A field of the project's own interface was read on each interface.

Change: the field is one of HeaderNames, and the platform's names have none: requests with it are no keyed calls, and it reaches the target unchanged, whatever its number, length or form.

--- a/src/main/java/io/bilberrylane/http/HeaderNames.java
+++ b/src/main/java/io/bilberrylane/http/HeaderNames.java
@@ -11,6 +11,8 @@
  * The header fields that nodes, callers and targets exchange.
  *
  * @param service names the service of a request whose Host field does not; empty if no field does
+ * @param idempotencyKey identifies the operation of a request, so that a resend never runs it
+ *     again; empty if callers send no such keys to nodes
  * @param requestId the ID of a request; a target repeats it in its response
  * @param timeoutMillis the time that remains for a request, in milliseconds
  * @param targetId the target that a request is for; where {@code responseTargetId} is the same
@@ -29,6 +31,7 @@
  */
 public record HeaderNames(
         String service,
+        String idempotencyKey,
         String requestId,
         String timeoutMillis,
         String targetId,
@@ -51,6 +54,7 @@
     public static final HeaderNames OWN =
             new HeaderNames(
                     Headers.SERVICE,
+                    Headers.IDEMPOTENCY_KEY,
                     Headers.CALL_ID,
                     Headers.TIMEOUT_MILLIS,
                     "Bilberrylane-Target-Id",
@@ -69,6 +73,7 @@
     /** Checks that no name is null and copies the statuses. */
     public HeaderNames {
         Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(idempotencyKey, "idempotencyKey is null");
         Objects.requireNonNull(requestId, "requestId is null");
         Objects.requireNonNull(timeoutMillis, "timeoutMillis is null");
         Objects.requireNonNull(targetId, "targetId is null");
@@ -128,7 +133,7 @@
                         "Content-Length",
                         "Host",
                         service,
-                        Headers.IDEMPOTENCY_KEY,
+                        idempotencyKey,
                         requestId,
                         timeoutMillis,
                         targetId,
--- a/src/main/java/io/bilberrylane/http/InboundHead.java
+++ b/src/main/java/io/bilberrylane/http/InboundHead.java
@@ -103,7 +103,7 @@
                 timeoutMillis,
                 1,
                 idempotent,
-                mRequest.headers().get(Headers.IDEMPOTENCY_KEY, ""),
+                idempotencyKey(),
                 mBodyBytes,
                 names.isRequestIdSetByCaller() ? requestId() : "",
                 route.priority(),
@@ -115,6 +115,11 @@
                 false);
     }
 
+    private String idempotencyKey() {
+        final String field = mSettings.names().idempotencyKey();
+        return field.isEmpty() ? "" : mRequest.headers().get(field, "");
+    }
+
     /** Returns the head of a request to the node itself. */
     CallHead toLocalCallHead() {
         return new CallHead(
--- a/src/main/java/io/bilberrylane/http/RequestValidator.java
+++ b/src/main/java/io/bilberrylane/http/RequestValidator.java
@@ -41,7 +41,7 @@
                 && hasOneHost(request)
                 && hasSupportedTransferCoding(request)
                 && hasAtMostOneIdentity(request, names)
-                && hasValidIdempotencyKey(request);
+                && hasValidIdempotencyKey(request, names);
     }
 
     private static boolean isOriginOrAsteriskForm(final String uri) {
@@ -67,8 +67,12 @@
                 || request.headers().getAll(names.requestId()).size() <= 1;
     }
 
-    private static boolean hasValidIdempotencyKey(final HttpRequest request) {
-        final List<String> keys = request.headers().getAll(Headers.IDEMPOTENCY_KEY);
+    private static boolean hasValidIdempotencyKey(
+            final HttpRequest request, final HeaderNames names) {
+        if (names.idempotencyKey().isEmpty()) {
+            return true;
+        }
+        final List<String> keys = request.headers().getAll(names.idempotencyKey());
         return keys.isEmpty()
                 || keys.size() == 1
                         && !keys.get(0).isBlank()
--- a/src/main/java/io/bilberrylane/platform/PlatformProfile.java
+++ b/src/main/java/io/bilberrylane/platform/PlatformProfile.java
@@ -22,6 +22,7 @@
 
     private static final HeaderNames HEADER_NAMES =
             new HeaderNames(
+                    NO_FIELD,
                     NO_FIELD,
                     "X-Request-Id",
                     "X-Request-Deadline-Ms",
--- a/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
+++ b/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
@@ -83,4 +83,39 @@
             assertThat(mRuns.get(0).field("Bilberrylane-Service")).isEqualTo("other");
         }
     }
+
+    @Nested
+    final class IdempotencyKey {
+        private static String post(final String id, final String fields) {
+            return request("POST", "desk.example", "/unsafe/1", fields).replace("id-1", id);
+        }
+
+        // Guards against: a caller gets the response to another request, which sent the same
+        // value in a field that only the targets of the platform know, and its own never runs
+        // (MIXED).
+        @Test
+        void shouldRunEachRequestWhateverItsKey() throws IOException {
+            final String fields = "Idempotency-Key: 1\r\n";
+            for (final String id : List.of("id-1", "id-2")) {
+                assertThat(mNode.exchange(post(id, fields)))
+                        .startsWith("HTTP/1.1 200")
+                        .endsWith("answer to " + id);
+            }
+            assertThat(mRuns)
+                    .extracting(PlatformTarget.Request::id)
+                    .containsExactly("id-1", "id-2");
+            assertThat(mRuns.get(0).field("Idempotency-Key")).isEqualTo("1");
+        }
+
+        // Guards against: a proper request is rejected with 400 because of a field that only the
+        // targets of the platform know (DENIED).
+        @Test
+        void shouldForwardKeysThatTheOwnInterfaceRejects() throws IOException {
+            final String twice = "Idempotency-Key: 1\r\nIdempotency-Key: 2\r\n";
+            final String large = "Idempotency-Key: " + "k".repeat(300) + "\r\n";
+            for (final String fields : List.of(twice, large, "Idempotency-Key:\r\n")) {
+                assertThat(mNode.exchange(post("id-1", fields))).startsWith("HTTP/1.1 200");
+            }
+        }
+    }
 }
