Keep the idempotency keys of organisations apart

Callers could see on the project's own interface: an organisation that sends the same Idempotency-Key as another one gets the answer to the other's request, and its own never runs.

A key was unique within its service only.

Change: it is unique within its service and the organisation of its caller. Keys of callers without an organisation keep their form.

--- a/src/main/java/io/bilberrylane/node/KeyedRun.java
+++ b/src/main/java/io/bilberrylane/node/KeyedRun.java
@@ -24,10 +24,16 @@
 
     KeyedRun(final KeyCoordinator coordinator, final CallHead head) {
         mCoordinator = coordinator;
-        mKey = head.service() + "\n" + head.key();
+        mKey = keyOf(head);
         mFingerprint = head.method() + " " + head.uri() + " " + head.bodyBytes();
     }
 
+    /** Returns the key with all that it is unique within: the service and the organisation. */
+    private static String keyOf(final CallHead head) {
+        final String organisation = head.organisation().isEmpty() ? "" : head.organisation() + "\n";
+        return head.service() + "\n" + organisation + head.key();
+    }
+
     // -- key
 
     void begin(final long windowNanos, final KeyedCall call) {
--- a/src/test/java/io/bilberrylane/node/OwnOrganisationsTest.java
+++ b/src/test/java/io/bilberrylane/node/OwnOrganisationsTest.java
@@ -121,4 +121,34 @@
                         "bilberrylane-organisation: claimed", "authorization: bearer other");
         assertThat(mHeads).isEmpty();
     }
+
+    private String post(final String key, final String body) throws IOException {
+        return PlatformNode.exchange(
+                mIngress,
+                "POST /1 HTTP/1.1\r\nHost: desk\r\nIdempotency-Key: 1\r\n"
+                        + "Authorization: Bearer "
+                        + key
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\nConnection: close\r\n\r\n"
+                        + body);
+    }
+
+    // Guards against: a caller gets the response to the request of another organisation, which
+    // chose the same idempotency key, and its own request never runs.
+    @Test
+    void shouldKeepTheIdempotencyKeysOfOrganisationsApart() throws Exception {
+        apply(
+                CATALOGUE
+                        + "organisations:\n"
+                        + "  - {name: north, keys: [k-1]}\n"
+                        + "  - {name: south, keys: [k-2]}\n");
+        announceTarget();
+        for (final String key : List.of("k-1", "k-2", "k-1")) {
+            assertThat(post(key, "booking")).startsWith("HTTP/1.1 200").endsWith("served");
+        }
+        assertThat(fieldsAtTarget()).containsExactly("bilberrylane-organisation: north");
+        assertThat(fieldsAtTarget()).containsExactly("bilberrylane-organisation: south");
+        assertThat(mHeads).isEmpty();
+    }
 }
