Limit uploads of the platform by its configuration alone

The limits that an entry of the project's own format has by default, among them 16 MiB, also held for entries that other formats make. The longest wait in a queue was excepted by a check of another property of the interface.

Change: an entry that is made from the parameters of its targets alone has no limits of its own; that check is gone.

--- a/src/main/java/io/bilberrylane/catalogue/Limits.java
+++ b/src/main/java/io/bilberrylane/catalogue/Limits.java
@@ -15,6 +15,10 @@
     /** The limits of an entry that sets none. */
     public static final Limits DEFAULT = new Limits(0, 0, 16L * 1024 * 1024, 10_000, 200);
 
+    /** The limits of an entry whose format knows none. */
+    public static final Limits UNLIMITED =
+            new Limits(0, 0, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
+
     /**
      * Checks the ranges of the limits.
      *
--- a/src/main/java/io/bilberrylane/catalogue/ServiceEntry.java
+++ b/src/main/java/io/bilberrylane/catalogue/ServiceEntry.java
@@ -53,7 +53,7 @@
     }
 
     /**
-     * Returns an entry that sets only the parameters of its targets.
+     * Returns an entry that sets only the parameters of its targets and limits no calls.
      *
      * @param service the service's name
      * @param targetParameters the parameters that apply to each target of the service
@@ -66,7 +66,7 @@
                 ServiceClass.STANDARD,
                 List.of(),
                 List.of(),
-                Limits.DEFAULT,
+                Limits.UNLIMITED,
                 DEFAULT_RESEND_WINDOW_SECONDS,
                 DEFAULT_PROBES_PER_SECOND,
                 Objectives.DEFAULT,
--- a/src/main/java/io/bilberrylane/http/InboundExchange.java
+++ b/src/main/java/io/bilberrylane/http/InboundExchange.java
@@ -102,7 +102,7 @@
         final String service = route.selectService(mHandler.randomFraction());
         mRecord.setService(service);
         final Optional<ServiceEntry> entry = catalogue.service(service);
-        final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
+        final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.UNLIMITED);
         if (!mBody.limit(Math.min(limits.bodyBytes(), catalogue.callerLimits().bodyBytes()))) {
             refuse(ErrorCode.BODY_TOO_LARGE, true, 0);
             return;
--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -563,17 +563,15 @@
         }
         final Catalogue catalogue = mCatalogue.get();
         final Optional<ServiceEntry> entry = catalogue.service(call.head().service());
-        final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.DEFAULT);
+        final Limits limits = entry.map(ServiceEntry::limits).orElse(Limits.UNLIMITED);
         final TargetParameters parameters =
                 entry.map(ServiceEntry::targetParameters).orElse(TargetParameters.DEFAULT);
         final long now = System.nanoTime();
-        final long maxQueueMillis =
-                headerNames().isRequestIdSetByCaller() ? Long.MAX_VALUE : limits.queueMillis();
         final AdmissionRequest request =
                 AdmissionRequests.of(
                         call.head(),
                         catalogue.fairShares().weight(call.head().organisation()),
-                        maxQueueMillis,
+                        limits.queueMillis(),
                         now);
         return mQueue.offer(
                 call,
--- a/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
+++ b/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
@@ -118,4 +118,23 @@
             }
         }
     }
+
+    @Nested
+    final class BodyLimit {
+        private static final int LARGE_BYTES = 20 * 1024 * 1024;
+
+        // Guards against: an upload that the configuration allows is refused with 413, because
+        // the default limit of the project's own entries applies to it, too (DENIED).
+        @Test
+        void shouldAcceptWhatTheConfigurationAllows() throws IOException {
+            final String head =
+                    request(
+                            "POST",
+                            "desk.example",
+                            "/unsafe/1",
+                            "Content-Length: " + LARGE_BYTES + "\r\n");
+            assertThat(mNode.exchange(head + "b".repeat(LARGE_BYTES))).startsWith("HTTP/1.1 200");
+            assertThat(mRuns.get(0).body()).hasSize(LARGE_BYTES);
+        }
+    }
 }
