Start one watch of a kind, however often reading ends and begins

Callers saw nothing; the platform would have: a second watch that nobody closes goes on asking it, a call for each change and each 28 s.

A list that was under way when reading ended and began again started a watch of its own beside the new one.

Change: a list has a generation, as a watch has, and a reply of an earlier one is ignored.

Result: KindWatchTest.shouldWatchOnceWhenReadingBeginsAgainDuringAList, red before (a second watch), green now. shouldListWhenReadingBeginsAgain failed once with a null pointer: the test used the listener of a watch before the watch had begun; it waits for it now.

--- a/src/main/java/io/bilberrylane/node/KindWatch.java
+++ b/src/main/java/io/bilberrylane/node/KindWatch.java
@@ -65,7 +65,10 @@
     private int mConsecutiveFailures;
     private boolean mCheckFailed;
     private int mCheckSequence;
+
+    /** Increases with each list and watch, so that an earlier one has no effect any more. */
     private int mGeneration;
+
     private AutoCloseable mWatch;
 
     /**
@@ -96,12 +99,12 @@
                 () -> {
                     final Mode previous = mMode;
                     mMode = mode;
-                    if (previous == Mode.OFF && !mInProgress) {
+                    if (previous == Mode.OFF) {
                         // What was read before may be older than the history of the platform.
                         mVersion = -1;
                     }
                     if (mode == Mode.OFF && previous != Mode.OFF) {
-                        closeWatch();
+                        endReading();
                     } else if (mode != previous) {
                         listOrWatch();
                     }
@@ -147,7 +150,7 @@
         final boolean isBehind = list.version() > mVersion && mListener.differs(list.items());
         if (mWatch != null && (mCheckFailed || isBehind)) {
             LOGGER.atInfo().log("watch of %s is being restarted", mKind);
-            closeWatch();
+            endReading();
             listOrWatch();
         }
         mCheckFailed = false;
@@ -170,11 +173,16 @@
     }
 
     private void list() {
+        final int generation = ++mGeneration;
         mLists.list(mKind)
-                .whenComplete((list, failure) -> mLoop.execute(() -> onList(list, failure)));
+                .whenComplete(
+                        (list, failure) -> mLoop.execute(() -> onList(generation, list, failure)));
     }
 
-    private void onList(final ObjectList list, final Throwable failure) {
+    private void onList(final int generation, final ObjectList list, final Throwable failure) {
+        if (generation != mGeneration) {
+            return;
+        }
         mInProgress = false;
         if (failure != null) {
             LOGGER.atWarning().log("list of %s failed: %s", mKind, failure.getMessage());
@@ -253,7 +261,7 @@
         mLoop.schedule(this::listOrWatch, delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void closeWatch() {
+    private void endReading() {
         mGeneration++;
         mInProgress = false;
         if (mWatch != null) {
--- a/src/test/java/io/bilberrylane/node/KindWatchTest.java
+++ b/src/test/java/io/bilberrylane/node/KindWatchTest.java
@@ -42,12 +42,20 @@
         private final BlockingQueue<Long> mWatchedFrom = new LinkedBlockingQueue<>();
         private final BlockingQueue<String> mClosed = new LinkedBlockingQueue<>();
         private volatile ObjectList mStaleList = new ObjectList(5, List.of());
+        private final BlockingQueue<CompletableFuture<ObjectList>> mLists =
+                new LinkedBlockingQueue<>();
+        private volatile boolean mListsWait;
         private volatile boolean mUnavailable;
         private volatile WatchListener mListener;
 
         @Override
         public CompletableFuture<ObjectList> list(final String kind) {
-            return CompletableFuture.completedFuture(new ObjectList(5, List.of()));
+            final CompletableFuture<ObjectList> reply = new CompletableFuture<>();
+            mLists.add(reply);
+            if (!mListsWait) {
+                reply.complete(new ObjectList(5, List.of()));
+            }
+            return reply;
         }
 
         @Override
@@ -205,10 +213,29 @@
     void shouldListWhenReadingBeginsAgain() throws Exception {
         mWatch.setMode(KindWatch.Mode.WATCH);
         assertThat(next(mDeliveredVersions)).isEqualTo(5);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(5);
         mStore.mListener.onEvents(new ObjectEvents(8, List.of(new ObjectEvent(NEWER, false))));
         assertThat(next(mDeliveredVersions)).isEqualTo(8);
         mWatch.setMode(KindWatch.Mode.OFF);
         mWatch.setMode(KindWatch.Mode.WATCH);
         assertThat(next(mDeliveredVersions)).isEqualTo(5);
     }
+
+    // Guards against: a list that was requested before reading ended and began again starts a
+    // second watch, which nothing closes any more.
+    @Test
+    void shouldWatchOnceWhenReadingBeginsAgainDuringAList() throws Exception {
+        mStore.mListsWait = true;
+        mWatch.setMode(KindWatch.Mode.WATCH);
+        final CompletableFuture<ObjectList> earlier = next(mStore.mLists);
+        mWatch.setMode(KindWatch.Mode.OFF);
+        mWatch.setMode(KindWatch.Mode.WATCH);
+        final CompletableFuture<ObjectList> later = next(mStore.mLists);
+        later.complete(new ObjectList(9, List.of()));
+        assertThat(next(mDeliveredVersions)).isEqualTo(9);
+        assertThat(next(mStore.mWatchedFrom)).isEqualTo(9);
+        earlier.complete(new ObjectList(5, List.of()));
+        assertThat(mStore.mWatchedFrom.poll(300, TimeUnit.MILLISECONDS)).isNull();
+        assertThat(mDeliveredVersions).isEmpty();
+    }
 }
