Serve targets that do not tell their speed

Cause: a gate admits nothing before it knows the speed of a target that has a health path. An answer without a speed was neither a report nor a failed probe, so each call waited for a probe that told nothing.

Change: a target that has answered a probe with success, and has never told its speed, counts as one of normal speed until it tells one. One that has told it before is probed on, as an answer without the field may be a fault.

--- a/src/main/java/io/bilberrylane/node/Gate.java
+++ b/src/main/java/io/bilberrylane/node/Gate.java
@@ -31,6 +31,7 @@
 import io.bilberrylane.policy.GateAdmission;
 import io.bilberrylane.policy.TargetLoad;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -610,8 +611,13 @@
     }
 
     /** Records the speed and the remaining cold time in a target's response to a probe. */
-    void recordProbeResponse(final GateAdmission admission, final HttpHeaders headers) {
-        recordSpeed(admission, LoadHeader.parse(headers.get(headerNames().load())));
+    void recordProbeResponse(
+            final GateAdmission admission, final int status, final HttpHeaders headers) {
+        final String load = headers.get(headerNames().load());
+        recordSpeed(admission, LoadHeader.parse(load));
+        if (load == null && HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS) {
+            mAdmissionLock.run(admission::recordNoSpeed);
+        }
         final int coldMillis = headers.getInt(headerNames().coldMillis(), 0);
         mAdmissionLock.run(
                 () -> admission.setColdMillis(Math.max(0, coldMillis), System.nanoTime()));
--- a/src/main/java/io/bilberrylane/node/TargetProber.java
+++ b/src/main/java/io/bilberrylane/node/TargetProber.java
@@ -148,7 +148,7 @@
                         "target %s was replaced by %s", mTargetId, DecisionLog.shortened(id));
                 return true;
             }
-            mGate.recordProbeResponse(mAdmission, response.headers());
+            mGate.recordProbeResponse(mAdmission, response.status().code(), response.headers());
             return true;
         }
 
--- a/src/main/java/io/bilberrylane/policy/GateAdmission.java
+++ b/src/main/java/io/bilberrylane/policy/GateAdmission.java
@@ -179,13 +179,21 @@
         mSpeed.update(percent, nowNanos);
     }
 
+    /**
+     * Records that the target has answered a probe without telling its speed. Unless it has told it
+     * before, it is assumed to run at normal speed from now on.
+     */
+    public void recordNoSpeed() {
+        mSpeed.recordNoReport();
+    }
+
     /**
      * Records a probe that got no response; the speed is taken as normal for a short time.
      *
      * @param nowNanos the monotonic clock
      */
     public void recordProbeFailure(final long nowNanos) {
-        mSpeed.update(TargetLoad.NORMAL_SPEED_PERCENT, nowNanos);
+        mSpeed.assumeNormal(nowNanos);
     }
 
     /**
--- a/src/main/java/io/bilberrylane/policy/SpeedEstimate.java
+++ b/src/main/java/io/bilberrylane/policy/SpeedEstimate.java
@@ -13,7 +13,12 @@
 
     private int mPercent = TargetLoad.NORMAL_SPEED_PERCENT;
     private boolean mProbeable;
+
+    /** Whether there is a speed, reported by the target or assumed. */
     private boolean mReported;
+
+    private boolean mReportedByTarget;
+    private boolean mNeverReported;
     private long mReportedNanos;
 
     void setProbeable(final boolean probeable) {
@@ -24,12 +29,29 @@
         return mProbeable;
     }
 
+    /** Records a report of the target. */
     void update(final int percent, final long nowNanos) {
+        mReportedByTarget = true;
+        mNeverReported = false;
+        set(percent, nowNanos);
+    }
+
+    /** Assumes normal speed for as long as a report would be valid. */
+    void assumeNormal(final long nowNanos) {
+        set(TargetLoad.NORMAL_SPEED_PERCENT, nowNanos);
+    }
+
+    private void set(final int percent, final long nowNanos) {
         mPercent = Math.max(1, percent);
         mReported = true;
         mReportedNanos = nowNanos;
     }
 
+    /** Records an answer without a report, as a target that never reports its speed sends it. */
+    void recordNoReport() {
+        mNeverReported = !mReportedByTarget;
+    }
+
     int percent() {
         return mPercent;
     }
@@ -39,7 +61,9 @@
     }
 
     boolean isStale(final long nowNanos) {
-        return mProbeable && (!mReported || nowNanos - mReportedNanos > REPORT_VALID_NANOS);
+        return mProbeable
+                && !mNeverReported
+                && (!mReported || nowNanos - mReportedNanos > REPORT_VALID_NANOS);
     }
 
     /** Returns when the speed must be probed again, in nanoseconds from now. */
--- a/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
+++ b/src/test/java/io/bilberrylane/policy/GateAdmissionTest.java
@@ -203,6 +203,40 @@
                     .containsExactly("a");
         }
 
+        // Guards against: a target that does not tell its speed gets no call, as each probe is
+        // taken for one without a result (CONFIG).
+        @Example
+        void shouldAdmitCallsWhenTheTargetAnswersProbesWithoutItsSpeed() {
+            mGate.setProbeable(true);
+            mGate.recordProbeFailure(0);
+            mGate.offer(call("a", false), 100 * MILLI);
+            mGate.recordNoSpeed();
+            assertThat(mGate.updateQueue(100 * MILLI).admitted()).hasSize(1);
+            assertThat(mGate.offer(call("b", false), 150 * MILLI))
+                    .isInstanceOf(AdmissionDecision.Admitted.class);
+        }
+
+        // Guards against: one answer without a speed makes a slow target count as one of normal
+        // speed for good.
+        @Example
+        void shouldAwaitTheSpeedWhenTheTargetHasToldItBefore() {
+            mGate.setProbeable(true);
+            mGate.recordSpeed(700, 0);
+            mGate.recordNoSpeed();
+            assertThat(mGate.offer(call("a", false), 100 * MILLI))
+                    .isInstanceOf(AdmissionDecision.Queued.class);
+            assertThat(mGate.needsSpeedProbe(100 * MILLI)).isTrue();
+        }
+
+        @Example
+        void shouldAwaitTheSpeedAgainWhenTheTargetTellsItLater() {
+            mGate.setProbeable(true);
+            mGate.recordNoSpeed();
+            mGate.recordSpeed(700, 0);
+            assertThat(mGate.offer(call("a", false), 100 * MILLI))
+                    .isInstanceOf(AdmissionDecision.Queued.class);
+        }
+
         @Example
         void shouldNotAdmitACallWhenTheTargetIsTooSlowForItsObjective() {
             learnServiceTimeOf100Millis();
