Refuse a call for longer each time that it crashes a target anew

Cause: the quarantine of a call ended after a fixed time, however often the call had been let in again.

Change: the time doubles with each crash after a quarantine has ended, up to 640 s, and the call is known for as long again after that. Crashes during a quarantine do not double it, so that targets that fail together do not keep a call out that was there by coincidence.

Not changed: the quarantine is in memory only.

--- a/src/main/java/io/bilberrylane/policy/Quarantine.java
+++ b/src/main/java/io/bilberrylane/policy/Quarantine.java
@@ -8,19 +8,37 @@
 
 /**
  * Tracks calls that were in service when their targets crashed. A call that was in service during
- * three crashes is refused for a limited time. A call that was in service by coincidence is not
- * refused, since it is not sent again. Not thread-safe.
+ * three crashes is refused for a limited time, which doubles if it is in service during another
+ * crash afterwards. A call that was in service by coincidence is not refused, since it is not sent
+ * again. Not thread-safe.
  */
 public final class Quarantine {
     private static final int CRASH_LIMIT = 3;
     private static final long RETENTION_NANOS = 30_000_000_000L;
-    private static final long BLOCK_NANOS = 20_000_000_000L;
+    private static final long MIN_BLOCK_NANOS = 20_000_000_000L;
+    private static final int MAX_BLOCK_DOUBLINGS = 5;
     private static final int MAX_CALLS = 4_096;
 
     private static final class CrashRecord {
         private final Set<String> mProcesses = new HashSet<>();
         private long mLastCrashNanos;
         private boolean mBlocked;
+
+        /** How often the call was in service during a crash after it was refused for a time. */
+        private int mRelapses;
+
+        private boolean isRefused(final long nowNanos) {
+            return mBlocked && nowNanos - mLastCrashNanos < blockNanos();
+        }
+
+        private long blockNanos() {
+            return MIN_BLOCK_NANOS << Math.min(MAX_BLOCK_DOUBLINGS, mRelapses);
+        }
+
+        /** A call that is refused is known for as long again after that. */
+        private long retentionNanos() {
+            return mBlocked ? 2 * blockNanos() : RETENTION_NANOS;
+        }
     }
 
     private final Map<Long, CrashRecord> mRecords = new HashMap<>();
@@ -50,6 +68,9 @@
             return false;
         }
         final CrashRecord record = mRecords.computeIfAbsent(fingerprint, key -> new CrashRecord());
+        if (record.mBlocked && !record.isRefused(nowNanos)) {
+            record.mRelapses++;
+        }
         record.mLastCrashNanos = nowNanos;
         record.mProcesses.add(process);
         final boolean newlyBlocked = !record.mBlocked && record.mProcesses.size() >= CRASH_LIMIT;
@@ -75,13 +96,14 @@
      */
     public boolean isBlocked(final long fingerprint, final long nowNanos) {
         final CrashRecord record = mRecords.get(fingerprint);
-        return record != null && record.mBlocked && nowNanos - record.mLastCrashNanos < BLOCK_NANOS;
+        return record != null && record.isRefused(nowNanos);
     }
 
     private void expire(final long nowNanos) {
         final Iterator<CrashRecord> records = mRecords.values().iterator();
         while (records.hasNext()) {
-            if (nowNanos - records.next().mLastCrashNanos >= RETENTION_NANOS) {
+            final CrashRecord record = records.next();
+            if (nowNanos - record.mLastCrashNanos >= record.retentionNanos()) {
                 records.remove();
             }
         }
