--- a/src/main/java/io/bilberrylane/catalogue/Catalogue.java
+++ b/src/main/java/io/bilberrylane/catalogue/Catalogue.java
@@ -1,7 +1,6 @@
 package io.bilberrylane.catalogue;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,7 +15,6 @@
  * centres and targets that are out of service. Immutable.
  */
 public final class Catalogue {
-    private static final int DEFAULT_ATTEMPTS = 3;
     private static final Catalogue EMPTY = builder().build();
 
     private final Map<String, ServiceEntry> mEntriesByService;
@@ -48,7 +46,9 @@
         mRoutesServiceNames = routesServiceNames;
         mRouteTable =
                 RouteTable.of(
-                        routesServiceNames ? withDefaultRoutes(routes, entries.values()) : routes,
+                        routesServiceNames
+                                ? ServiceNameRoutes.addTo(routes, entries.values())
+                                : routes,
                         unusableRoutes);
         mCallerLimits = callerLimits;
         mDataCentresOut = Set.copyOf(dataCentresOut);
@@ -63,32 +63,6 @@
         }
     }
 
-    private static List<Route> withDefaultRoutes(
-            final List<Route> routes, final Collection<ServiceEntry> entries) {
-        final List<Route> all = new ArrayList<>(routes);
-        for (final ServiceEntry entry : entries) {
-            all.add(defaultRoute(entry, entry.service()));
-            entry.hosts().forEach(host -> all.add(defaultRoute(entry, host)));
-        }
-        return all;
-    }
-
-    private static Route defaultRoute(final ServiceEntry entry, final String host) {
-        final long timeoutMillis = entry.limits().timeoutMillis();
-        return new Route(
-                host.toLowerCase(Locale.ROOT),
-                "/",
-                List.of(new WeightedService(entry.service(), 1)),
-                RunRule.BY_METHOD,
-                timeoutMillis,
-                Math.min(timeoutMillis, entry.objectives().latencyMillis()),
-                DEFAULT_ATTEMPTS,
-                entry.serviceClass().ordinal(),
-                Set.of(),
-                false,
-                false);
-    }
-
     /**
      * Returns a builder without entries.
      *
