--- a/src/test/java/io/bilberrylane/node/CallSchedule.java
+++ b/src/test/java/io/bilberrylane/node/CallSchedule.java
@@ -17,8 +17,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.SplittableRandom;
-import java.util.random.RandomGenerator;
 
 /**
  * Plays one schedule of events around a real call at an ingress, in virtual time, and checks after
@@ -26,57 +24,12 @@
  */
 final class CallSchedule implements AutoCloseable {
     private static final int HOSTS = 4;
-    private static final int MAX_ATTEMPTS = 4;
     private static final int BODY_PART_BYTES = 5;
     private static final String IDEMPOTENCY_KEY = "booking-1";
 
     /** The weight of events that do not end a call early. */
     private static final int COMMON = 8;
 
-    /** Some events do not happen in a schedule, others often, so that schedules differ more. */
-    private static final int[] FACTORS = {0, 1, 1, 6};
-
-    /** Longer than a call may last. */
-    private static final long LASTING_MILLIS = 60_000;
-
-    /** The choices of how long a token of the organisation's limit lasts; 0 without a limit. */
-    private static final long[] TOKEN_MILLIS = {0, 150, LASTING_MILLIS};
-
-    /**
-     * What kind of call it is.
-     *
-     * @param hasIdempotencyKey whether it has an idempotency key; such a call may run once
-     * @param tokenMillis how long a token of the organisation's limit lasts; 0 without a limit
-     * @param identified whether the caller's organisation is known by its key
-     * @param emphasis selects the events that are more or less likely than usual
-     */
-    record Kind(
-            boolean idempotent,
-            boolean hasIdempotencyKey,
-            boolean hasBody,
-            long tokenMillis,
-            boolean identified,
-            int attempts,
-            int emphasis) {
-        static Kind of(final RandomGenerator random) {
-            final boolean idempotent = random.nextInt(4) > 0;
-            return new Kind(
-                    idempotent,
-                    !idempotent && random.nextBoolean(),
-                    random.nextInt(3) == 0,
-                    TOKEN_MILLIS[random.nextInt(TOKEN_MILLIS.length)],
-                    random.nextInt(3) == 0,
-                    1 + random.nextInt(MAX_ATTEMPTS),
-                    random.nextInt());
-        }
-
-        /** Returns how likely an event is, relative to its usual weight. */
-        private int factorOf(final String event) {
-            final RandomGenerator random = new SplittableRandom(31L * emphasis + event.hashCode());
-            return FACTORS[random.nextInt(FACTORS.length)];
-        }
-    }
-
     /**
      * An event that may happen now.
      *
@@ -98,16 +51,17 @@
                     0,
                     0);
 
-    private final Kind mKind;
+    private final CallKind mKind;
     private final VirtualIngress mIngress;
     private final RecordedResponse mResponse = new RecordedResponse();
     private final RoutedCall mCall;
+    private final CallChecks mChecks;
     private final List<ByteBuf> mBodyParts = new ArrayList<>();
     private final List<String> mTrace = new ArrayList<>();
     private boolean mBodyEnded;
     private boolean mCancelled;
 
-    private CallSchedule(final Kind kind) {
+    private CallSchedule(final CallKind kind) {
         mKind = kind;
         mIngress = VirtualIngress.of(HOSTS, kind.tokenMillis());
         final Catalogue catalogue = withOrganisation();
@@ -119,6 +73,7 @@
                         "calendar.example",
                         "/slots",
                         new CallerIdentity.Known(ORGANISATION));
+        mChecks = new CallChecks(kind, mIngress, mResponse);
         mTrace.add(kind.toString());
         mCall =
                 mIngress.start(
@@ -146,7 +101,7 @@
      * @param choices select the events, one after the other
      * @return the failed check with the events that led to it; empty if everything held
      */
-    static Optional<String> play(final Kind kind, final List<Integer> choices) {
+    static Optional<String> play(final CallKind kind, final List<Integer> choices) {
         try (CallSchedule schedule = new CallSchedule(kind)) {
             try {
                 choices.forEach(schedule::step);
@@ -164,7 +119,7 @@
         mTrace.add(event.name());
         event.action().run();
         mIngress.runPendingTasks();
-        check();
+        mChecks.check(isEnded());
     }
 
     private Event select(final List<Event> events, final int choice) {
@@ -190,9 +145,9 @@
             mIngress.answerReservation(true);
             mIngress.runPendingTasks();
         }
-        check();
+        mChecks.check(isEnded());
         assertThat(isEnded()).as("the call has ended").isTrue();
-        if (mKind.tokenMillis() == LASTING_MILLIS) {
+        if (mKind.tokenMillis() == CallKind.LASTING_MILLIS) {
             assertThat(mIngress.tokensOut()).as("tokens that are not returned").isZero();
         }
         assertThat(mIngress.completions())
@@ -346,55 +301,10 @@
         }
     }
 
-    // -- checks
-
     private boolean isEnded() {
         return mCancelled || mResponse.end() != RecordedResponse.End.PENDING;
     }
 
-    private void check() {
-        checkOpenAttempts();
-        checkResponse();
-        checkRuns();
-        assertThat(mIngress.callsEnded()).as("ends of the call").isEqualTo(isEnded() ? 1 : 0);
-    }
-
-    private void checkOpenAttempts() {
-        final long open = mIngress.offers().stream().filter(OfferedCall::isOpen).count();
-        assertThat(open).as("open attempts").isLessThanOrEqualTo(isEnded() ? 0 : 2);
-        assertThat(mIngress.offers().stream().filter(OfferedCall::isAdmittedAndOpen).count())
-                .as("open attempts that a gate has admitted")
-                .isLessThanOrEqualTo(1);
-    }
-
-    private void checkResponse() {
-        assertThat(mResponse.heads()).as("heads").isLessThanOrEqualTo(1);
-        assertThat(mResponse.ends()).as("ends").isLessThanOrEqualTo(1);
-        assertThat(mResponse.eventsAfterEnd()).as("events after the end").isZero();
-        final String body = mResponse.body();
-        assertThat(body.chars().distinct().count())
-                .as("targets whose bytes the caller has got")
-                .isLessThanOrEqualTo(1);
-        if (mResponse.end() == RecordedResponse.End.ANSWERED) {
-            assertThat(body).as("a whole response").hasSize(OfferedCall.RESPONSE_BYTES);
-        }
-    }
-
-    private void checkRuns() {
-        final long received = mIngress.offers().stream().filter(OfferedCall::isReceived).count();
-        if (!mKind.idempotent()) {
-            assertThat(received)
-                    .as("targets that have received a call that may run once")
-                    .isLessThanOrEqualTo(1);
-        }
-        if (mResponse.end() == RecordedResponse.End.REFUSED) {
-            assertThat(received).as("targets that have received a refused call").isZero();
-        }
-        assertThat(received)
-                .as("targets that have received the call, with so many retries granted")
-                .isLessThanOrEqualTo(1 + mIngress.retriesGranted());
-    }
-
     @Override
     public void close() {
         mIngress.close();
--- a/src/test/java/io/bilberrylane/node/CallScheduleTest.java
+++ b/src/test/java/io/bilberrylane/node/CallScheduleTest.java
@@ -23,7 +23,7 @@
     void shouldKeepItsPromisesInEachSchedule() {
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
             final SplittableRandom random = new SplittableRandom(seed);
-            final CallSchedule.Kind kind = CallSchedule.Kind.of(random);
+            final CallKind kind = CallKind.of(random);
             final List<Integer> choices =
                     random.ints(1 + random.nextInt(MAX_EVENTS), 0, Integer.MAX_VALUE)
                             .boxed()
@@ -36,8 +36,7 @@
     }
 
     /** Returns a schedule that still fails, from which no event can be left out. */
-    private static List<Integer> shortest(
-            final CallSchedule.Kind kind, final List<Integer> failing) {
+    private static List<Integer> shortest(final CallKind kind, final List<Integer> failing) {
         List<Integer> shortest = failing;
         for (int i = 0; i < shortest.size(); ) {
             final List<Integer> shorter = new ArrayList<>(shortest);
