Send a node of the platform what the platform's pages do not name

Change: PlatformInterfaceTest sends 14 fields in requests, 5 in responses and 6 paths of the own interface, or of workers, to a platform node; they pass unchanged, or get 404.

--- a/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
+++ b/src/test/java/io/bilberrylane/node/PlatformInterfaceTest.java
@@ -137,4 +137,80 @@
             assertThat(mRuns.get(0).body()).hasSize(LARGE_BYTES);
         }
     }
+
+    /** What the pages of the platform do not name has no effect and passes unchanged. */
+    @Nested
+    final class UnnamedFieldsAndPaths {
+        // Guards against: a field of the project's own interface changes what becomes of a request
+        // or does not reach its target.
+        @ParameterizedTest
+        @CsvSource({
+            "Bilberrylane-Service, other",
+            "Bilberrylane-Timeout-Millis, 1",
+            "Bilberrylane-Timeout-Millis, none",
+            "Bilberrylane-Call-Id, call-1",
+            "Bilberrylane-Caller, other",
+            "Bilberrylane-Target-Id, other",
+            "Bilberrylane-Organisation, other",
+            "Bilberrylane-Outcome, not-run",
+            "Bilberrylane-Load, 6/6",
+            "Bilberrylane-Retried, true",
+            "Idempotency-Key, 1",
+            "X-Instance-Load, '9,9,1,900'",
+            "X-Not-Executed, 1",
+            "X-Cold-Ms, 9000"
+        })
+        void shouldPassAFieldOfARequestOn(final String name, final String value)
+                throws IOException {
+            final String fields = name + ": " + value + "\r\n";
+            for (int i = 0; i < 2; i++) {
+                final String answer =
+                        mNode.exchange(request("POST", "desk.example", "/unsafe/1", fields));
+                assertThat(answer).startsWith("HTTP/1.1 200");
+            }
+            assertThat(mRuns).hasSize(2);
+            assertThat(mRuns).allMatch(run -> run.field(name).equals(value));
+        }
+
+        // Guards against: a field of the project's own interface in the response of a target is
+        // taken for a statement of the target.
+        @ParameterizedTest
+        @CsvSource({
+            "Bilberrylane-Outcome, not-run",
+            "Bilberrylane-Load, 6/6",
+            "Bilberrylane-Cold-Millis, 9000",
+            "Bilberrylane-Retried, true",
+            "Bilberrylane-Error, overloaded"
+        })
+        void shouldPassAFieldOfAResponseOn(final String name, final String value)
+                throws IOException {
+            final String field = name + ": " + value + "\r\n";
+            mTarget.setScript(
+                    run -> {
+                        mRuns.add(run);
+                        run.write(PlatformTarget.response(503, run.id(), field, "busy"));
+                    });
+            final String answer = mNode.exchange(request("POST", "desk.example", "/unsafe/1", ""));
+            assertThat(answer).startsWith("HTTP/1.1 503").contains(field).endsWith("busy");
+            assertThat(mRuns).hasSize(1);
+        }
+
+        // Guards against: a path of the project's own interface, or of the platform's workers,
+        // does something at the address of callers.
+        @ParameterizedTest
+        @CsvSource({
+            "PUT, /.bilberrylane/announcement",
+            "POST, /-/Instances.Heartbeat/i-1",
+            "POST, /-/Instances.Leave/i-1",
+            "GET, /-/readyz",
+            "GET, /metrics",
+            "GET, /status"
+        })
+        void shouldNotServeAPathOfItsOwn(final String method, final String path)
+                throws IOException {
+            final String answer = mNode.exchange(request(method, "desk.example", path, ""));
+            assertThat(answer).startsWith("HTTP/1.1 404");
+            assertThat(mRuns).isEmpty();
+        }
+    }
 }
